Skeleton: workspace, domain types, wire messages, contracts

An empty repository needs the interfaces agreed before parts are built side by side. Types of ids, outcomes, requests, configuration and the store's port; protobuf messages between nodes; ARCHITECTURE with the statements towards endpoints and the one mechanism (majority-held mark) that carries acknowledgement, fresh reads and proved age. Weighed against a per-write position wait: one mechanism for three uses, no clock comparison. Ran: make lint types unit, 2 passed.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,45 @@
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+READY := $(VENV)/.ready
+SOURCES := $(wildcard packages/*/src) $(wildcard packages/*/tests)
+
+.PHONY: setup format lint types unit test demo serve generate soak mutants measure clean
+
+setup: $(READY)
+
+$(READY): requirements-dev.txt $(wildcard packages/*/pyproject.toml)
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check setuptools==84.2.1
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-build-isolation -r requirements-dev.txt
+	touch $(READY)
+
+format: $(READY)
+	$(BIN)/ruff check --quiet --select I --fix packages
+	$(BIN)/ruff format --quiet packages
+
+lint: $(READY)
+	$(BIN)/ruff format --check --quiet packages
+	$(BIN)/ruff check --quiet packages
+	$(BIN)/flake8 packages
+
+types: $(READY)
+	$(BIN)/mypy $(wildcard packages/*/src)
+
+unit: $(READY)
+	$(BIN)/python -m pytest
+
+test: lint types unit
+
+demo: $(READY)
+	$(BIN)/cowslipfork-lab demo
+
+serve: $(READY)
+	$(BIN)/cowslipfork-lab serve
+
+generate: $(READY)
+	cd packages/cowslipfork/src && PATH=$(abspath $(BIN)):$$PATH python -m grpc_tools.protoc -I . \
+	  --python_out=. --grpc_python_out=. --mypy_out=. cowslipfork/wire/*.proto
+
+clean:
+	rm -rf $(VENV) run
--- /dev/null
+++ b/packages/cowslipfork-admin/src/cowslipfork_admin/__init__.py
@@ -0,0 +1,1 @@
+"""Package of cowslipfork; see its pyproject.toml."""
--- /dev/null
+++ b/packages/cowslipfork/src/cowslipfork/store/port.py
@@ -0,0 +1,118 @@
+"""Interface to the platform's store: compare-and-swap, prefixes, watches."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator, Sequence
+from dataclasses import dataclass
+from typing import Protocol
+
+from cowslipfork.errors import CowslipforkError
+
+
+class StoreDown(CowslipforkError):
+    """The store did not answer; a read or an unsent write had no effect."""
+
+    def __init__(self, operation: str, cause: str) -> None:
+        """Remembers what failed.
+
+        Args:
+            operation: name of the call, such as ``swap``.
+            cause: error of the client library.
+        """
+        super().__init__(f'store {operation} failed: {cause}')
+        self.operation = operation
+        self.cause = cause
+
+
+class StoreUncertain(StoreDown):
+    """A write's answer was lost: it may have taken effect."""
+
+
+@dataclass(frozen=True, slots=True)
+class Entry:
+    """A key with its value.
+
+    Attributes:
+        key: full key.
+        content: value, at most a megabyte.
+        revision: store revision of the last change; 0 if absent.
+    """
+
+    key: str
+    content: bytes
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class Compare:
+    """A condition: the key's last change has this revision (0: absent)."""
+
+    key: str
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class Put:
+    """A change; None as content deletes the key."""
+
+    key: str
+    content: bytes | None
+
+
+@dataclass(frozen=True, slots=True)
+class Swapped:
+    """Result of a compare-and-swap.
+
+    Attributes:
+        succeeded: whether every condition held and all was written.
+        revision: store revision after the call.
+    """
+
+    succeeded: bool
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class Event:
+    """A watched change; content None means deleted."""
+
+    key: str
+    content: bytes | None
+    revision: int
+
+
+class Store(Protocol):
+    """What cowslipfork asks of the platform's store."""
+
+    async def get(self, key: str) -> Entry | None:
+        """Reads one key.
+
+        Raises:
+            StoreDown: no answer in time.
+        """
+
+    async def list_prefix(self, prefix: str) -> tuple[Sequence[Entry], int]:
+        """Reads all keys below a prefix and the store revision of the read.
+
+        Raises:
+            StoreDown: no answer in time.
+        """
+
+    async def swap(
+        self,
+        compares: Sequence[Compare],
+        puts: Sequence[Put],
+    ) -> Swapped:
+        """Writes all puts if all compares hold, in one transaction.
+
+        Raises:
+            StoreUncertain: the answer was lost.
+            StoreDown: the call was certainly not made.
+        """
+
+    def watch(self, prefix: str, after: int) -> AsyncIterator[list[Event]]:
+        """Yields changes below a prefix later than store revision ``after``.
+
+        Raises:
+            StoreDown: the watch broke; list again and watch from there.
+        """
--- /dev/null
+++ b/packages/cowslipfork/src/cowslipfork/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Generated protobuf and gRPC code; ``make generate`` renews it."""
