Rendezvous order of VMs for a group

Weighed: a hash ring (needs virtual nodes to be even) and a two-level hash, domain first (a lost VM's groups would all stay in one failure domain, and uneven domains give uneven load). Highest random weight over single VMs moves only the lost VM's groups; ranks alternate failure domains round by round, so claimers of consecutive ranks do not fail together.

--- /dev/null
+++ b/packages/cowslipfork/src/cowslipfork/membership/rendezvous.py
@@ -0,0 +1,112 @@
+"""Rendezvous order of VMs for a group: highest random weight first."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+
+import xxhash
+
+from cowslipfork.ids import FailureDomain, GroupName, RegionName, VmId
+
+
+@dataclass(frozen=True, slots=True)
+class Place:
+    """Where a VM runs.
+
+    Attributes:
+        vm: name of the VM.
+        failure_domain: VMs that fail together with it.
+        region: region of the failure domain.
+    """
+
+    vm: VmId
+    failure_domain: FailureDomain
+    region: RegionName
+
+
+def weight(key: str, vm: VmId) -> int:
+    """Computes the pseudo-random weight of a VM for a key.
+
+    Args:
+        key: name of a group, or of another thing that VMs share out.
+        vm: name of the VM.
+
+    Returns:
+        64 bits that depend on the two names only.
+    """
+    return xxhash.xxh3_64_intdigest(f'{key}\0{vm}'.encode())
+
+
+def carrier_of(
+    group: GroupName,
+    places: Iterable[Place],
+    region: RegionName,
+) -> VmId | None:
+    """Finds the VM that carries a group.
+
+    Args:
+        group: the group.
+        places: VMs that may carry.
+        region: region of the group's endpoints.
+
+    Returns:
+        The first VM of ``rank``, or None without VMs.
+    """
+    first = max(
+        places,
+        key=lambda place: _preference(group, place, region),
+        default=None,
+    )
+    return first.vm if first else None
+
+
+def rank(
+    group: GroupName,
+    places: Iterable[Place],
+    region: RegionName,
+) -> list[VmId]:
+    """Orders VMs for a group.
+
+    VMs of the group's region come first. Failure domains alternate, so that
+    as many ranks as there are failure domains are in different ones.
+
+    Args:
+        group: the group.
+        places: VMs to order.
+        region: region of the group's endpoints.
+
+    Returns:
+        All VMs, the carrier first.
+    """
+    ordered = sorted(
+        places,
+        key=lambda place: _preference(group, place, region),
+        reverse=True,
+    )
+    home = [place for place in ordered if place.region == region]
+    away = [place for place in ordered if place.region != region]
+    return [*_alternate(home), *_alternate(away)]
+
+
+def _preference(
+    group: GroupName,
+    place: Place,
+    region: RegionName,
+) -> tuple[bool, int, VmId]:
+    return place.region == region, weight(group, place.vm), place.vm
+
+
+def _alternate(ordered: Sequence[Place]) -> list[VmId]:
+    # Every round takes the best VM left of each failure domain. Domains keep
+    # the order of their best VMs, so the first VM stays first.
+    queues: dict[FailureDomain, list[VmId]] = {}
+    for place in ordered:
+        queues.setdefault(place.failure_domain, []).append(place.vm)
+    longest = max(map(len, queues.values()), default=0)
+    return [
+        queue[turn]
+        for turn in range(longest)
+        for queue in queues.values()
+        if turn < len(queue)
+    ]
