--- /dev/null
+++ b/packages/cowslipfork/src/cowslipfork/membership/quorum.py
@@ -0,0 +1,83 @@
+"""Majorities within a region: who counts as gone, who may rely on its view."""
+
+from __future__ import annotations
+
+from collections.abc import Collection, Mapping
+
+from cowslipfork.ids import VmId
+from cowslipfork.membership.member import Member, MemberState, Proof, Report
+
+#: VMs of its own region that must miss a VM before it counts as gone.
+CONFIRMATIONS = 2
+
+#: Proofs that a process ended; silence alone may be a cut.
+_ENDED = frozenset((Proof.REFUSED, Proof.LEFT, Proof.UNLISTED))
+
+
+def confirmed(
+    report: Report,
+    own: Report,
+    members: Mapping[VmId, Member],
+) -> bool:
+    """Tells whether enough VMs miss a silent one.
+
+    Only VMs of its own region count: when regions lose each other, each
+    region goes on, and nothing moves when they rejoin.
+
+    Args:
+        report: the silent VM, with its witnesses.
+        own: report of the node that asks.
+        members: all other VMs.
+
+    Returns:
+        Whether the VM counts as gone.
+    """
+    region = report.place.region
+    able = {
+        member.report.vm
+        for member in members.values()
+        if member.report.place.region == region
+        and member.report.state is not MemberState.GONE
+        and member.report.vm != report.vm
+    }
+    if own.place.region == region:
+        able.add(own.vm)
+    needed = min(CONFIRMATIONS, len(able))
+    return needed > 0 and len(report.witnesses & able) >= needed
+
+
+def holds_majority(
+    own: Report,
+    members: Mapping[VmId, Member],
+    silent: Collection[VmId],
+) -> bool:
+    """Tells whether a node is with the majority of its region.
+
+    VMs whose process is proved to have ended do not count. Of two equal
+    halves the one with the first VM in order of names goes on.
+
+    Args:
+        own: report of the node.
+        members: all other VMs.
+        silent: neighbours out of touch with the node.
+
+    Returns:
+        Whether more than half of the region's VMs are on the node's side.
+    """
+    region = own.place.region
+    counted = {
+        member.report.vm: member.report.state
+        for member in members.values()
+        if member.report.place.region == region
+        and member.report.proof not in _ENDED
+    }
+    near = {
+        vm
+        for vm, state in counted.items()
+        if state in {MemberState.LIVE, MemberState.LEAVING} and vm not in silent
+    }
+    near.add(own.vm)
+    total = len(counted) + 1
+    if len(near) * 2 == total:
+        return min(own.vm, *counted) in near
+    return len(near) * 2 > total
