--- /dev/null
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/endpoints/connection.py
@@ -0,0 +1,314 @@
+"""One connection to an endpoint, bound to a term of its group."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager, suppress
+from dataclasses import dataclass
+from typing import Any, Final
+
+import asyncmy
+from asyncmy import errors as driver_errors
+from asyncmy.cursors import SSCursor
+
+from cowslipfork.configuration import Endpoint
+from cowslipfork.errors import CowslipforkError
+from cowslipfork.ids import EndpointId, Term
+from cowslipfork.requests import Answer, Column, Row, Rows
+
+#: Rows handed on at once; bounds what a node holds of a large result.
+ROWS_PER_BATCH: Final = 500
+
+#: Client-side error numbers of MySQL drivers: the connection is of no use.
+_FIRST_CLIENT_ERROR: Final = 2000
+_LAST_CLIENT_ERROR: Final = 2999
+
+_NO_STATE: Final = 'HY000'
+
+
+class ConnectionBroken(CowslipforkError):
+    """A connection ended or stayed silent; a sent statement may have run."""
+
+    def __init__(self, endpoint: EndpointId, cause: str, *, sent: bool) -> None:
+        """Remembers what broke.
+
+        Args:
+            endpoint: the endpoint of the connection.
+            cause: time-out or error of the driver.
+            sent: whether a statement may have reached the endpoint.
+        """
+        super().__init__(f'connection to endpoint {endpoint} broke: {cause}')
+        self.endpoint = endpoint
+        self.cause = cause
+        self.sent = sent
+
+
+class EndpointRefused(CowslipforkError):
+    """An endpoint answered a statement with an error packet."""
+
+    def __init__(self, endpoint: EndpointId, errno: int, text: str) -> None:
+        """Remembers the error packet.
+
+        Args:
+            endpoint: who refused.
+            errno: MySQL error number.
+            text: message of the endpoint.
+        """
+        super().__init__(f'endpoint {endpoint}: error {errno}: {text}')
+        self.endpoint = endpoint
+        self.errno = errno
+        self.text = text
+        self.sqlstate = _NO_STATE
+
+
+@dataclass(frozen=True, slots=True)
+class Login:
+    """How nodes log in to endpoints."""
+
+    user: str = 'cowslipfork'
+    password: str = ''
+
+
+class EndpointConnection:
+    """A connection that runs one statement at a time.
+
+    A cancelled or timed-out statement leaves it broken; it is then closed and
+    never used again.
+    """
+
+    def __init__(self, endpoint: EndpointId, raw: Any) -> None:
+        """Wraps an open driver connection.
+
+        Args:
+            endpoint: who is at the other end.
+            raw: connection of the driver.
+        """
+        self._endpoint = endpoint
+        self._raw = raw
+        self._term: Term | None = None
+        self._usable = True
+
+    @property
+    def endpoint(self) -> EndpointId:
+        """Who is at the other end."""
+        return self._endpoint
+
+    @property
+    def term(self) -> Term | None:
+        """Term that the connection is bound to."""
+        return self._term
+
+    @property
+    def usable(self) -> bool:
+        """Whether the last answer was read whole."""
+        return self._usable
+
+    def close(self) -> None:
+        """Closes the socket at once."""
+        self._usable = False
+        with suppress(driver_errors.Error):
+            self._raw.close()
+
+    async def bind(self, term: Term, timeout: float) -> None:
+        """Binds the connection to a term, unless it is already.
+
+        Args:
+            term: term of every later statement.
+            timeout: seconds.
+
+        Raises:
+            ConnectionBroken: no whole answer.
+            EndpointRefused: the endpoint does not take the term.
+        """
+        if self._term != term:
+            self._term = None
+            await self.command(f'SET SESSION group_term = {term}', timeout)
+            self._term = term
+
+    async def command(self, sql: str, timeout: float) -> Answer:
+        """Runs a statement without a result set.
+
+        Args:
+            sql: the statement.
+            timeout: seconds.
+
+        Returns:
+            The endpoint's figures.
+
+        Raises:
+            ConnectionBroken: no whole answer.
+            EndpointRefused: the endpoint answered with an error.
+        """
+        async with self._guarded(timeout):
+            affected = await self._raw.query(sql)
+            return Answer(
+                affected_rows=affected,
+                last_insert_id=self._raw.insert_id(),
+                endpoint=self._endpoint,
+            )
+
+    async def fetch(self, sql: str, timeout: float) -> list[Row]:
+        """Runs a statement and reads its small result whole.
+
+        Args:
+            sql: the statement.
+            timeout: seconds.
+
+        Returns:
+            All rows.
+
+        Raises:
+            ConnectionBroken: no whole answer.
+            EndpointRefused: the endpoint answered with an error.
+        """
+        async with self._guarded(timeout):
+            cursor = self._raw.cursor()
+            await cursor.execute(sql)
+            return list(await cursor.fetchall())
+
+    async def stream(self, sql: str, timeout: float) -> Answer:
+        """Runs any statement; rows are read as the answer is consumed.
+
+        Args:
+            sql: the statement.
+            timeout: seconds until the head of the answer, and then again for
+                each batch of rows.
+
+        Returns:
+            The answer. The connection is free once its rows are read.
+
+        Raises:
+            ConnectionBroken: no head of an answer.
+            EndpointRefused: the endpoint answered with an error.
+        """
+        cursor = self._raw.cursor(SSCursor)
+        async with self._guarded(timeout):
+            await cursor.execute(sql)
+        if cursor.description is None:
+            return Answer(
+                affected_rows=cursor.rowcount,
+                last_insert_id=cursor.lastrowid,
+                endpoint=self._endpoint,
+            )
+        async with self._guarded(timeout):
+            first = await cursor.fetchmany(ROWS_PER_BATCH)
+        return Answer(
+            columns=_columns(cursor),
+            rows=self._rest(cursor, list(first), timeout),
+            endpoint=self._endpoint,
+        )
+
+    async def _rest(
+        self,
+        cursor: Any,
+        batch: list[Row],
+        timeout: float,
+    ) -> Rows:
+        # A short batch is the last one: its end marker has been read.
+        whole = False
+        try:
+            while True:
+                if batch:
+                    yield batch
+                if len(batch) < ROWS_PER_BATCH:
+                    break
+                async with self._guarded(timeout):
+                    batch = list(await cursor.fetchmany(ROWS_PER_BATCH))
+            whole = True
+        finally:
+            if not whole:
+                self.close()
+
+    @asynccontextmanager
+    async def _guarded(self, timeout: float) -> AsyncIterator[None]:
+        """Turns every failure of the driver into a typed one."""
+        whole = False
+        try:
+            async with asyncio.timeout(timeout):
+                yield
+            whole = True
+        except driver_errors.MySQLError as error:
+            errno, text = _error_packet(error)
+            whole = not _FIRST_CLIENT_ERROR <= errno <= _LAST_CLIENT_ERROR
+            if whole:
+                raise EndpointRefused(self._endpoint, errno, text) from error
+            raise ConnectionBroken(
+                self._endpoint,
+                text,
+                sent=True,
+            ) from error
+        except (OSError, TimeoutError, EOFError) as broken:
+            raise ConnectionBroken(
+                self._endpoint,
+                str(broken) or type(broken).__name__,
+                sent=True,
+            ) from broken
+        finally:
+            if not whole:
+                self.close()
+
+
+async def open_connection(
+    endpoint: Endpoint,
+    login: Login,
+    database: str,
+    timeout: float,
+) -> EndpointConnection:
+    """Opens a connection.
+
+    Args:
+        endpoint: where to.
+        login: user and password.
+        database: schema to select.
+        timeout: seconds for connect and login.
+
+    Returns:
+        A connection bound to no term yet.
+
+    Raises:
+        ConnectionBroken: no connection in time; nothing was sent.
+        EndpointRefused: the endpoint refused the login or has no room (1040).
+    """
+    try:
+        async with asyncio.timeout(timeout):
+            raw = await asyncmy.connect(
+                host=endpoint.host,
+                port=endpoint.port,
+                user=login.user,
+                password=login.password,
+                database=database,
+                conv={},
+                autocommit=None,
+            )
+    except driver_errors.MySQLError as error:
+        errno, text = _error_packet(error)
+        if _FIRST_CLIENT_ERROR <= errno <= _LAST_CLIENT_ERROR:
+            raise ConnectionBroken(
+                endpoint.name,
+                text,
+                sent=False,
+            ) from error
+        raise EndpointRefused(endpoint.name, errno, text) from error
+    except (OSError, TimeoutError, EOFError) as broken:
+        raise ConnectionBroken(
+            endpoint.name,
+            str(broken) or type(broken).__name__,
+            sent=False,
+        ) from broken
+    return EndpointConnection(endpoint.name, raw)
+
+
+def _error_packet(error: Exception) -> tuple[int, str]:
+    match error.args:
+        case (int(errno), str(text), *_):
+            return errno, text
+        case _:
+            return _FIRST_CLIENT_ERROR, str(error)
+
+
+def _columns(cursor: Any) -> tuple[Column, ...]:
+    return tuple(
+        Column(described.name, described.type_code, described.charsetnr)
+        for described in cursor._result.fields  # noqa: SLF001
+    )
