--- a/packages/cowslipfork/src/cowslipfork/requests/answer.py
+++ b/packages/cowslipfork/src/cowslipfork/requests/answer.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator
 from dataclasses import dataclass, field
 from typing import TypeAlias
 
@@ -12,8 +12,9 @@
 Cell: TypeAlias = str | bytes | None
 Row: TypeAlias = tuple[Cell, ...]
 
-#: Batches of rows; a large result is never held whole.
-Rows: TypeAlias = AsyncIterator[list[Row]]
+#: Batches of rows; a large result is never held whole. Whoever stops reading
+#: early closes it (``contextlib.aclosing``), since it holds a connection.
+Rows: TypeAlias = AsyncGenerator[list[Row], None]
 
 
 @dataclass(frozen=True, slots=True)
