Configuration: INI base and overlay into the typed model, every problem at once

An operator who gets one mistake at a time accepts by trial. configparser stops at the first repeated section or key, so the offending line is taken out and the text read again, up to 100 mistakes of syntax; a parser of our own was ruled out. Sections are one table each (tables.py), from which the reference page will be generated. Names are case-sensitive, so that 'Slots' is an unknown key with a suggestion and not a second spelling. The entry point is parse_configuration, not parse: the linter (WPS347) calls the bare import vague in every module that would use it.

Differences compare settings, not lines: each line names section and key; secrets show as the first digits of a digest, so that a change still shows.

--- a/packages/cowslipfork/src/cowslipfork/configuration/__init__.py
+++ b/packages/cowslipfork/src/cowslipfork/configuration/__init__.py
@@ -1,5 +1,6 @@
 """The operators' configuration: an INI base file and an overlay per site."""
 
+from cowslipfork.configuration.difference import difference, files_of
 from cowslipfork.configuration.model import (
     AgeRule,
     Configuration,
@@ -17,9 +18,22 @@
     Site,
     Team,
 )
+from cowslipfork.configuration.node import (
+    LogFormat,
+    NodeSettings,
+    node_settings,
+)
+from cowslipfork.configuration.parser import parse_configuration
+from cowslipfork.configuration.problems import (
+    BadValue,
+    Problem,
+    ProblemKind,
+    Problems,
+)
 
 __all__ = (
     'AgeRule',
+    'BadValue',
     'Configuration',
     'Endpoint',
     'Failover',
@@ -27,11 +41,20 @@
     'Group',
     'Kind',
     'Limits',
+    'LogFormat',
+    'NodeSettings',
     'Operator',
+    'Problem',
+    'ProblemKind',
+    'Problems',
     'ReadingRule',
     'RequestClass',
     'Role',
     'SessionRule',
     'Site',
     'Team',
+    'difference',
+    'files_of',
+    'node_settings',
+    'parse_configuration',
 )
