--- a/packages/cowslipfork/src/cowslipfork/store/__init__.py
+++ b/packages/cowslipfork/src/cowslipfork/store/__init__.py
@@ -1,5 +1,8 @@
 """The platform's key-value store, as the domain sees it."""
 
+from cowslipfork.store.backoff import backoff_delays
+from cowslipfork.store.budget import Budget
+from cowslipfork.store.etcd import EtcdStore
 from cowslipfork.store.port import (
     Compare,
     Entry,
@@ -12,12 +15,15 @@
 )
 
 __all__ = (
+    'Budget',
     'Compare',
     'Entry',
+    'EtcdStore',
     'Event',
     'Put',
     'Store',
     'StoreDown',
     'StoreUncertain',
     'Swapped',
+    'backoff_delays',
 )
--- /dev/null
+++ b/packages/cowslipfork/src/cowslipfork/store/memory.py
@@ -0,0 +1,191 @@
+"""An in-memory store with settable faults, for tests of the store's users."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
+from enum import Enum, unique
+
+from cowslipfork.store.port import (
+    Compare,
+    Entry,
+    Event,
+    Put,
+    StoreDown,
+    StoreUncertain,
+    Swapped,
+)
+
+
+@unique
+class Fault(Enum):
+    """What goes wrong with the calls of the store.
+
+    ``LOST_ANSWER``, ``LOST_REQUEST`` and ``LATE_WRITE`` concern writes only;
+    each raises ``StoreUncertain``, after the write, without it, or before it.
+    """
+
+    DOWN = 'down'
+    LOST_ANSWER = 'lost_answer'
+    LOST_REQUEST = 'lost_request'
+    LATE_WRITE = 'late_write'
+
+
+async def _at_once(operation: str) -> None:
+    """Delays no call."""
+
+
+class MemoryStore:
+    """A ``Store`` that keeps its keys in a dictionary."""
+
+    def __init__(
+        self,
+        before: Callable[[str], Awaitable[None]] = _at_once,
+    ) -> None:
+        """Starts empty and healthy.
+
+        Args:
+            before: awaited with the call's name before each call; a slow
+                store is one that waits here.
+        """
+        self._before = before
+        self._entries: dict[str, Entry] = {}
+        self._events: list[Event] = []
+        self._revision = 0
+        self._changed = asyncio.Event()
+        self._standing: Fault | None = None
+        self._once: list[Fault] = []
+        self._late: list[tuple[Sequence[Compare], Sequence[Put]]] = []
+        self._calls: Counter[str] = Counter()
+
+    @property
+    def calls(self) -> Counter[str]:
+        """Calls made so far, by name."""
+        return self._calls
+
+    @property
+    def revision(self) -> int:
+        """Store revision of the last change."""
+        return self._revision
+
+    def fail(self, fault: Fault) -> None:
+        """Makes every call fail until ``heal``; watches break when down."""
+        self._standing = fault
+        self._wake_watches()
+
+    def fail_once(self, fault: Fault) -> None:
+        """Makes the next write fail; several calls queue up."""
+        self._once.append(fault)
+
+    def heal(self) -> None:
+        """Ends all faults; a late write stays late."""
+        self._standing = None
+        self._once.clear()
+
+    def deliver_late(self) -> None:
+        """Performs the writes that ``LATE_WRITE`` held back."""
+        late = tuple(self._late)
+        self._late.clear()
+        for compares, puts in late:
+            self._apply(compares, puts)
+
+    def put(self, key: str, content: bytes | None) -> None:
+        """Writes as the platform would: no fault, no condition."""
+        self._apply((), (Put(key, content),))
+
+    async def get(self, key: str) -> Entry | None:
+        """Reads one key."""
+        await self._call('get')
+        return self._entries.get(key)
+
+    async def list_prefix(self, prefix: str) -> tuple[Sequence[Entry], int]:
+        """Reads all keys below a prefix, sorted by key."""
+        await self._call('list')
+        found = sorted(key for key in self._entries if key.startswith(prefix))
+        return [self._entries[key] for key in found], self._revision
+
+    async def swap(
+        self,
+        compares: Sequence[Compare],
+        puts: Sequence[Put],
+    ) -> Swapped:
+        """Writes all puts if all compares hold."""
+        await self._call('swap')
+        fault = self._once.pop(0) if self._once else self._standing
+        if fault is Fault.DOWN:
+            raise StoreDown('swap', 'down')
+        if fault is Fault.LATE_WRITE:
+            self._late.append((compares, puts))
+        if fault in {Fault.LATE_WRITE, Fault.LOST_REQUEST}:
+            raise StoreUncertain('swap', 'no answer')
+        swapped = self._apply(compares, puts)
+        if fault is Fault.LOST_ANSWER:
+            raise StoreUncertain('swap', 'answer lost')
+        return swapped
+
+    async def watch(
+        self,
+        prefix: str,
+        after: int,
+    ) -> AsyncIterator[list[Event]]:
+        """Yields changes below a prefix in the order of their revisions."""
+        await self._call('watch')
+        while True:
+            changed = self._changed
+            events = [
+                event
+                for event in self._events
+                if event.revision > after and event.key.startswith(prefix)
+            ]
+            after = self._revision
+            if events:
+                yield events
+            if changed is self._changed:
+                await changed.wait()
+            self._refuse_if_down('watch')
+
+    async def _call(self, operation: str) -> None:
+        self._calls[operation] += 1
+        await self._before(operation)
+        self._refuse_if_down(operation)
+
+    def _refuse_if_down(self, operation: str) -> None:
+        if self._standing is Fault.DOWN:
+            raise StoreDown(operation, 'down')
+
+    def _apply(
+        self,
+        compares: Sequence[Compare],
+        puts: Sequence[Put],
+    ) -> Swapped:
+        held = all(
+            self._revision_of(compare.key) == compare.revision
+            for compare in compares
+        )
+        if held and puts:
+            self._revision += 1
+            for put in puts:
+                self._write(put)
+            self._wake_watches()
+        return Swapped(held, self._revision)
+
+    def _revision_of(self, key: str) -> int:
+        entry = self._entries.get(key)
+        return 0 if entry is None else entry.revision
+
+    def _write(self, put: Put) -> None:
+        if put.content is None:
+            self._entries.pop(put.key, None)
+        else:
+            self._entries[put.key] = Entry(
+                put.key,
+                put.content,
+                self._revision,
+            )
+        self._events.append(Event(put.key, put.content, self._revision))
+
+    def _wake_watches(self) -> None:
+        changed = self._changed
+        self._changed = asyncio.Event()
+        changed.set()
