--- /dev/null
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/carrier/group_carrier.py
@@ -0,0 +1,268 @@
+"""Carries one group: serves every statement for it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from functools import partial
+from typing import Final
+
+from cowslipfork.configuration import (
+    Configuration,
+    FreshRule,
+    Group,
+    Kind,
+    RequestClass,
+)
+from cowslipfork.groups.tracker import Tracker
+from cowslipfork.ids import ClassName, EndpointId, KindName, Mark, Term
+from cowslipfork.limits import RetryBudget
+from cowslipfork.outcomes import Done, NotRun, Outcome, Reason, Refused, Unknown
+from cowslipfork.requests import Answer, Operation, Request
+from cowslipfork_proxy.carrier._grants import (
+    RECONNECT_MS,
+    Grant,
+    Grants,
+    Unreached,
+    Wanted,
+)
+from cowslipfork_proxy.carrier._jobs import JobTable, run_job
+from cowslipfork_proxy.carrier._reads import eligible, is_fresh, need_of
+from cowslipfork_proxy.carrier._transactions import Transactions
+from cowslipfork_proxy.carrier._writes import refusal, remaining, run_write
+from cowslipfork_proxy.endpoints import ConnectionBroken, EndpointRefused
+
+#: Kind of requests that name none: fresh reads, no jobs.
+SAFEST_KIND: Final = Kind(
+    KindName('default'),
+    ClassName('default'),
+    FreshRule(),
+)
+
+#: Class of requests whose kind names none that is configured.
+_DEFAULT_CLASS: Final = RequestClass(
+    ClassName('default'),
+    weight=1,
+    queue=100,
+    deadline=5,
+)
+
+
+class GroupCarrier:
+    """The one place that decides about a group's statements."""
+
+    def __init__(
+        self,
+        group: Group,
+        configuration: Callable[[], Configuration],
+        tracker: Tracker,
+        grants: Grants,
+    ) -> None:
+        """Wires the parts of a group.
+
+        Args:
+            group: the group.
+            configuration: gives the configuration in force.
+            tracker: what is known of its endpoints.
+            grants: slots and connections of its endpoints.
+        """
+        self._group = group
+        self._configuration = configuration
+        self._tracker = tracker
+        self._grants = grants
+        self._table = JobTable()
+        self._retries = RetryBudget(configuration().limits.retry_share)
+        self._transactions = Transactions(
+            grants,
+            self._table,
+            lambda: configuration().limits.transaction_idle,
+        )
+
+    @property
+    def group(self) -> Group:
+        """The group carried."""
+        return self._group
+
+    @property
+    def tracker(self) -> Tracker:
+        """What is known of the group's endpoints."""
+        return self._tracker
+
+    def close(self) -> None:
+        """Stops carrying: ends transactions, closes every connection."""
+        self._transactions.close()
+        self._grants.close()
+
+    async def run(self, request: Request) -> Outcome[Answer]:
+        """Serves one statement to its end.
+
+        Args:
+            request: the statement.
+
+        Returns:
+            Its outcome.
+        """
+        if request.transaction is not None:
+            return await self._in_transaction(request)
+        if request.operation is Operation.READ:
+            return await self._again(request, self._read)
+        return await self._again(request, self._write)
+
+    async def _again(
+        self,
+        request: Request,
+        attempt: Callable[[Request, Kind], object],
+    ) -> Outcome[Answer]:
+        """Repeats an attempt that was not run, within the retry budget."""
+        kind = self._kind(request)
+        self._retries.first_try()
+        outcome = await attempt(request, kind)  # type: ignore[misc]
+        while _passing(outcome) and remaining(request):
+            if not self._retries.may_retry():
+                break
+            outcome = await attempt(request, kind)  # type: ignore[misc]
+        return outcome  # type: ignore[no-any-return]
+
+    async def _read(self, request: Request, kind: Kind) -> Outcome[Answer]:
+        term = self._tracker.record.term
+        mark = self._session_mark(request)
+        if is_fresh(kind.reads, mark):
+            found = await self._tracker.check(term, request.deadline)
+            if found.is_error():
+                return NotRun(
+                    Reason.NO_FRESH_ENDPOINT,
+                    RECONNECT_MS,
+                    found.error.value,
+                )
+            mark = found.ok
+        need = need_of(kind.reads, mark, primary=kind.primary_reads)
+        wanted = Wanted(
+            self._class(kind),
+            partial(eligible, self._tracker, self._grants.queue, need),
+            term,
+            request.deadline,
+        )
+        grant = await self._grants.grant(wanted)
+        if not isinstance(grant, Grant):
+            return _ungranted(grant)
+        return await _stream(request, grant)
+
+    async def _write(self, request: Request, kind: Kind) -> Outcome[Answer]:
+        refused = _write_refusal(request, kind)
+        if refused is not None:
+            return refused
+        grant = await self._primary(request, kind)
+        if not isinstance(grant, Grant):
+            return grant
+        if request.request_id is None:
+            return await run_write(request, grant, self._acknowledged)
+        return await run_job(request, grant, self._table, self._acknowledged)
+
+    async def _in_transaction(self, request: Request) -> Outcome[Answer]:
+        kind = self._kind(request)
+        if request.operation is not Operation.BEGIN:
+            return await self._transactions.run(
+                request,
+                self._wanted_primary(request, kind, in_transaction=True),
+                self._acknowledged,
+            )
+        record = self._tracker.record
+        if not record.serving:
+            return _no_primary()
+        grant = await self._grants.pinned(record.primary, record.term)
+        if not isinstance(grant, Grant):
+            return _ungranted(grant)
+        return await self._transactions.begin(request, grant)
+
+    async def _primary(self, request: Request, kind: Kind) -> Grant | NotRun:
+        if not self._tracker.record.serving:
+            return _no_primary()
+        wanted = self._wanted_primary(request, kind, in_transaction=False)
+        grant = await self._grants.grant(wanted)
+        return grant if isinstance(grant, Grant) else _ungranted(grant)
+
+    def _wanted_primary(
+        self,
+        request: Request,
+        kind: Kind,
+        *,
+        in_transaction: bool,
+    ) -> Wanted:
+        record = self._tracker.record
+
+        def primary() -> tuple[EndpointId, ...]:
+            return (record.primary,)
+
+        return Wanted(
+            self._class(kind),
+            primary,
+            record.term,
+            request.deadline,
+            in_transaction,
+        )
+
+    async def _acknowledged(self, term: Term, deadline: float) -> Mark | None:
+        found = await self._tracker.acknowledged(term, deadline)
+        return found.ok if found.is_ok() else None
+
+    def _session_mark(self, request: Request) -> Mark | None:
+        if request.marks is None:
+            return None
+        return request.marks.get(self._group.name, Mark(Term(0), 0))  # type: ignore[arg-type]
+
+    def _kind(self, request: Request) -> Kind:
+        if request.kind is None:
+            return SAFEST_KIND
+        return self._configuration().kinds.get(request.kind, SAFEST_KIND)
+
+    def _class(self, kind: Kind) -> RequestClass:
+        classes = self._configuration().classes
+        return classes.get(kind.class_name, _DEFAULT_CLASS)
+
+
+async def _stream(request: Request, grant: Grant) -> Outcome[Answer]:
+    """Runs a read; the grant ends with its rows."""
+    streaming = False
+    try:
+        answer = await grant.connection.stream(request.sql, remaining(request))
+        streaming = True
+    except EndpointRefused as refused:
+        return refusal(refused)
+    except ConnectionBroken as broken:
+        return NotRun(Reason.CONNECTION_LOST, RECONNECT_MS, broken.cause)
+    finally:
+        if not streaming:
+            grant.release()
+    return Done(grant.until_read(answer))
+
+
+def _write_refusal(request: Request, kind: Kind) -> NotRun | None:
+    if kind.job and request.request_id is None:
+        return NotRun(
+            Reason.REQUEST_ID_MISSING,
+            detail=f'kind {kind.name} records jobs; send a request_id',
+        )
+    return None
+
+
+def _ungranted(grant: NotRun | Unreached) -> NotRun:
+    if isinstance(grant, NotRun):
+        return grant
+    reason = Reason.STALE_TERM if grant.stale else Reason.CONNECTION_LOST
+    return NotRun(
+        reason,
+        RECONNECT_MS,
+        f'endpoint {grant.endpoint} was not reached',
+    )
+
+
+def _no_primary() -> NotRun:
+    return NotRun(Reason.NO_PRIMARY, RECONNECT_MS, 'a primary is being chosen')
+
+
+def _passing(outcome: Done[Answer] | Refused | NotRun | Unknown) -> bool:
+    """Tells whether another try may fare better at once."""
+    return isinstance(outcome, NotRun) and outcome.reason in {
+        Reason.STALE_TERM,
+        Reason.NO_FREE_SLOT,
+        Reason.CONNECTION_LOST,
+    }
--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/endpoints/connection.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/endpoints/connection.py
@@ -20,6 +20,9 @@
 #: Rows handed on at once; bounds what a node holds of a large result.
 ROWS_PER_BATCH: Final = 500
 
+#: Error numbers below are the driver's own, as for a closed connection.
+_FIRST_SERVER_ERROR: Final = 1000
+
 #: Client-side error numbers of MySQL drivers: the connection is of no use.
 _FIRST_CLIENT_ERROR: Final = 2000
 _LAST_CLIENT_ERROR: Final = 2999
@@ -230,7 +233,7 @@
             whole = True
         except driver_errors.MySQLError as error:
             errno, text = _error_packet(error)
-            whole = not _FIRST_CLIENT_ERROR <= errno <= _LAST_CLIENT_ERROR
+            whole = _from_endpoint(errno)
             if whole:
                 raise EndpointRefused(self._endpoint, errno, text) from error
             raise ConnectionBroken(
@@ -283,13 +286,9 @@
             )
     except driver_errors.MySQLError as error:
         errno, text = _error_packet(error)
-        if _FIRST_CLIENT_ERROR <= errno <= _LAST_CLIENT_ERROR:
-            raise ConnectionBroken(
-                endpoint.name,
-                text,
-                sent=False,
-            ) from error
-        raise EndpointRefused(endpoint.name, errno, text) from error
+        if _from_endpoint(errno):
+            raise EndpointRefused(endpoint.name, errno, text) from error
+        raise ConnectionBroken(endpoint.name, text, sent=False) from error
     except (OSError, TimeoutError, EOFError) as broken:
         raise ConnectionBroken(
             endpoint.name,
@@ -299,6 +298,12 @@
     return EndpointConnection(endpoint.name, raw)
 
 
+def _from_endpoint(errno: int) -> bool:
+    """Tells an error packet from a failure of the driver."""
+    client_side = _FIRST_CLIENT_ERROR <= errno <= _LAST_CLIENT_ERROR
+    return errno >= _FIRST_SERVER_ERROR and not client_side
+
+
 def _error_packet(error: Exception) -> tuple[int, str]:
     match error.args:
         case (int(errno), str(text), *_):
--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/endpoints/control.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/endpoints/control.py
@@ -111,6 +111,8 @@
             if term is not None and refused.errno == Reason.STALE_TERM.value:
                 raise TermRefused(self._endpoint.name, term) from refused
             raise EndpointSilent(self._endpoint.name, refused.text) from refused
+        # Two statements at once open two connections; one is kept.
+        self.close()
         self._kept = kept
         return _status(rows[0])
 
