--- /dev/null
+++ b/packages/cowslipfork/src/cowslipfork/groups/_waiters.py
@@ -0,0 +1,89 @@
+"""Futures of waiters, resolved in order without a scan of all."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from heapq import heappop, heappush
+from itertools import count
+from typing import Generic, TypeVar
+
+from expression import Error, Ok, Result
+
+from cowslipfork.groups.check import CheckFailure
+from cowslipfork.ids import Mark
+
+Found = Result[Mark, CheckFailure]
+_Key = TypeVar('_Key', int, Mark)
+
+#: Waiters at which those that gave up are dropped.
+_PURGE_AT = 256
+
+
+class Waiters(Generic[_Key]):
+    """Waiters ordered by what they wait for."""
+
+    def __init__(self) -> None:
+        """Starts without waiters."""
+        self._heap: list[tuple[_Key, int, asyncio.Future[Found]]] = []
+        self._numbers = count()
+        self._purge_at = _PURGE_AT
+
+    def join(self, key: _Key, waiter: asyncio.Future[Found]) -> None:
+        """Adds a waiter for a key."""
+        heappush(self._heap, (key, next(self._numbers), waiter))
+        if len(self._heap) >= self._purge_at:
+            self._purge()
+
+    def pass_up_to(
+        self,
+        key: _Key,
+        then: Callable[[asyncio.Future[Found]], None],
+    ) -> None:
+        """Hands every waiter up to a key on, in order of their keys."""
+        while self._heap and self._heap[0][0] <= key:
+            waiter = heappop(self._heap)[2]
+            if not waiter.done():
+                then(waiter)
+
+    def fail(self, failure: CheckFailure) -> None:
+        """Ends all waiters with a failure."""
+        for entry in self._heap:
+            settle(entry[2], Error(failure))
+        self._heap = []
+
+    def _purge(self) -> None:
+        # Drops waiters that gave up. A list sorted by key is a heap.
+        self._heap = sorted(
+            (entry for entry in self._heap if not entry[2].done()),
+            key=lambda entry: entry[:2],
+        )
+        self._purge_at = max(_PURGE_AT, 2 * len(self._heap))
+
+
+def settle(waiter: asyncio.Future[Found], found: Found) -> None:
+    """Resolves a waiter unless it gave up."""
+    if not waiter.done():
+        waiter.set_result(found)
+
+
+def settler(mark: Mark) -> Callable[[asyncio.Future[Found]], None]:
+    """Gives a function that resolves waiters with a mark."""
+    return lambda waiter: settle(waiter, Ok(mark))
+
+
+async def settled(waiter: asyncio.Future[Found], deadline: float) -> Found:
+    """Waits for a waiter to be resolved.
+
+    Args:
+        waiter: the future that joined.
+        deadline: loop time in seconds.
+
+    Returns:
+        What it was resolved with, or NO_MAJORITY at the deadline.
+    """
+    try:
+        async with asyncio.timeout_at(deadline):
+            return await waiter
+    except TimeoutError:
+        return Error(CheckFailure.NO_MAJORITY)
--- /dev/null
+++ b/packages/cowslipfork/src/cowslipfork/groups/check.py
@@ -0,0 +1,60 @@
+"""What a check proves, and how it fails."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum, unique
+
+from cowslipfork.groups.port import EndpointStatus
+from cowslipfork.ids import Mark
+
+
+@unique
+class CheckFailure(Enum):
+    """Why a check proves nothing."""
+
+    #: The term is over, or its primary is not published.
+    STALE_TERM = 'stale_term'
+    #: No majority with the primary answered before the deadline.
+    NO_MAJORITY = 'no_majority'
+
+
+@unique
+class Violation(Enum):
+    """A broken invariant; every count must stay 0."""
+
+    STALE_ACKNOWLEDGEMENT = 'stale_acknowledgement'
+    MARK_WENT_BACKWARDS = 'mark_went_backwards'
+    TWO_PRIMARIES = 'two_primaries'
+
+
+@dataclass(frozen=True, slots=True)
+class Sample:
+    """An answer of an endpoint.
+
+    Attributes:
+        ordinal: orders begins of samples and arrivals of waiters, also those
+            at the same clock reading.
+        begun: loop time before the question was sent.
+    """
+
+    ordinal: int
+    begun: float
+    status: EndpointStatus
+
+
+@dataclass(frozen=True, slots=True)
+class CheckPoint:
+    """A completed check.
+
+    Every write acknowledged before ``begun`` is at or below ``mark``.
+
+    Attributes:
+        ordinal: orders the check with arrivals of waiters.
+        begun: loop time of the earliest sample that the check rests on.
+        mark: the primary's mark.
+    """
+
+    ordinal: int
+    begun: float
+    mark: Mark
--- a/packages/cowslipfork/src/cowslipfork/groups/port.py
+++ b/packages/cowslipfork/src/cowslipfork/groups/port.py
@@ -51,6 +51,13 @@
         self.cause = cause
 
 
+class EndpointUnreachable(EndpointSilent):
+    """A new connection was refused or reset: no server is listening.
+
+    Stronger evidence than silence, which a lost packet gives too.
+    """
+
+
 class TermRefused(CowslipforkError):
     """An endpoint is in a later term than the caller of the statement."""
 
@@ -69,7 +76,9 @@
 class EndpointControl(Protocol):
     """Group statements of one endpoint, each bounded by a time-out.
 
-    Every method raises ``EndpointSilent`` without an answer in time.
+    Every method raises ``EndpointSilent`` without an answer in time, and
+    ``EndpointUnreachable`` if a new connection was refused or reset. After
+    either, the kept connection is closed and the next call opens another.
     """
 
     async def status(self, timeout: float, *, fresh: bool) -> EndpointStatus:
--- /dev/null
+++ b/packages/cowslipfork/src/cowslipfork/groups/tracker.py
@@ -0,0 +1,356 @@
+"""Samples the endpoints of a group and runs shared checks."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Mapping
+from itertools import count
+
+from expression import Error, Ok
+
+from cowslipfork.configuration import Failover
+from cowslipfork.groups._proof import ProvedPoints, check_point, majority_of
+from cowslipfork.groups._waiters import (
+    Found,
+    Waiters,
+    settle,
+    settled,
+    settler,
+)
+from cowslipfork.groups.check import (
+    CheckFailure,
+    CheckPoint,
+    Sample,
+    Violation,
+)
+from cowslipfork.groups.port import (
+    EndpointControl,
+    EndpointRole,
+    EndpointSilent,
+    EndpointStatus,
+)
+from cowslipfork.groups.record import GroupRecord
+from cowslipfork.ids import EndpointId, Mark, Term
+
+#: Seconds between begins of an endpoint's samples while somebody waits.
+PACE = 0.005
+
+Count = Callable[[Violation], None]
+
+
+class Tracker:
+    """What is known of a group's endpoints, and who waits to know more.
+
+    A waiter needs samples begun after it arrived. While there are waiters,
+    every endpoint is sampled at ``PACE``, so that all waiters of a moment
+    share the next samples; without waiters only each ``probe_interval``.
+    """
+
+    def __init__(
+        self,
+        record: GroupRecord,
+        controls: Mapping[EndpointId, EndpointControl],
+        failover: Failover,
+        now: Callable[[], float],
+        count_violation: Count,
+    ) -> None:
+        """Tracks nothing until ``run``.
+
+        Args:
+            record: the group's record as last heard.
+            controls: all endpoints of the group.
+            failover: times of the sampling.
+            now: the loop's clock in seconds.
+            count_violation: counts broken invariants.
+        """
+        self._record = record
+        self._controls = controls
+        self._failover = failover
+        self._now = now
+        self._count = count_violation
+        self._ordinals = count(1)
+        self._samples: dict[EndpointId, Sample] = {}
+        self._silent_since: dict[EndpointId, float] = {}
+        self._points = ProvedPoints()
+        self._checks: Waiters[int] = Waiters()
+        self._writes: Waiters[int] = Waiters()
+        self._unheld: Waiters[Mark] = Waiters()
+        self._readers: Waiters[Mark] = Waiters()
+        self._waiting = 0
+        self._wanted = asyncio.Event()
+
+    @property
+    def record(self) -> GroupRecord:
+        """The newest record heard."""
+        return self._record
+
+    @property
+    def failover(self) -> Failover:
+        """Times of the sampling."""
+        return self._failover
+
+    @property
+    def controls(self) -> Mapping[EndpointId, EndpointControl]:
+        """Group statements of each endpoint."""
+        return self._controls
+
+    @property
+    def majority(self) -> int:
+        """Smallest majority of the group's endpoints."""
+        return majority_of(len(self._controls))
+
+    @property
+    def point(self) -> CheckPoint | None:
+        """The newest completed check."""
+        return self._points.latest
+
+    def adopt(self, record: GroupRecord) -> bool:
+        """Takes a newer record over; waiters of the term before fail.
+
+        Returns:
+            Whether the record was newer.
+        """
+        if not record.supersedes(self._record):
+            return False
+        self._record = record
+        self._fail_waiters()
+        return True
+
+    def _fail_waiters(self) -> None:
+        for arrived in (self._checks, self._writes):
+            arrived.fail(CheckFailure.STALE_TERM)
+        for marked in (self._unheld, self._readers):
+            marked.fail(CheckFailure.STALE_TERM)
+
+    def status(self, endpoint: EndpointId) -> EndpointStatus | None:
+        """Gives an endpoint's last answer, however old."""
+        sample = self._samples.get(endpoint)
+        return None if sample is None else sample.status
+
+    def silence(self, endpoint: EndpointId) -> float:
+        """Gives the seconds since the begin of the first missed sample."""
+        since = self._silent_since.get(endpoint)
+        return 0 if since is None else self._now() - since
+
+    def age(self, endpoint: EndpointId) -> float | None:
+        """Gives the proved age of an endpoint's data.
+
+        Returns:
+            Seconds: the endpoint holds every write that was acknowledged
+            longer ago. None if nothing is proved.
+        """
+        sample = self._samples.get(endpoint)
+        if sample is None:
+            return None
+        point = self._points.holding(sample.status.mark)
+        return None if point is None else self._now() - point.begun
+
+    async def check(self, term: Term, deadline: float) -> Found:
+        """Learns a mark that covers every write acknowledged until now.
+
+        Args:
+            term: the caller's term.
+            deadline: loop time in seconds.
+
+        Returns:
+            The mark; STALE_TERM if the term is over; NO_MAJORITY if nothing
+            was proved before the deadline.
+        """
+        return await self._join(self._checks, term, deadline)
+
+    async def acknowledged(self, term: Term, deadline: float) -> Found:
+        """Waits until all that the primary has committed until now is safe.
+
+        Call it after the COMMIT was answered.
+
+        Args:
+            term: term that the write's connection is bound to.
+            deadline: loop time in seconds.
+
+        Returns:
+            The mark that a majority holds in the term, the primary included;
+            STALE_TERM or NO_MAJORITY leave the write's outcome unknown.
+        """
+        return await self._join(self._writes, term, deadline)
+
+    async def reached(self, mark: Mark, deadline: float) -> Found:
+        """Waits until some replica is sampled at or past a mark.
+
+        Returns:
+            The mark that a replica has; STALE_TERM when a newer record is
+            heard meanwhile; NO_MAJORITY at the deadline.
+        """
+        waiter: asyncio.Future[Found] = self._waiter()
+        self._readers.join(mark, waiter)
+        return await self._settled(waiter, deadline)
+
+    async def run(self) -> None:
+        """Samples every endpoint until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            for endpoint in self._controls:
+                group.create_task(self._sample(endpoint))
+
+    async def _sample(self, endpoint: EndpointId) -> None:
+        control = self._controls[endpoint]
+        while True:
+            ordinal = next(self._ordinals)
+            begun = self._now()
+            try:
+                status = await control.status(
+                    self._failover.probe_timeout,
+                    fresh=False,
+                )
+            except EndpointSilent:
+                self._silent_since.setdefault(endpoint, begun)
+                await self._until(begun + self._failover.probe_interval)
+            else:
+                self.observe(endpoint, Sample(ordinal, begun, status))
+                await self._pause(begun)
+
+    async def _pause(self, begun: float) -> None:
+        try:
+            async with asyncio.timeout_at(
+                begun + self._failover.probe_interval,
+            ):
+                await self._wanted.wait()
+        except TimeoutError:
+            return
+        await self._until(begun + PACE)
+
+    async def _until(self, time: float) -> None:
+        await asyncio.sleep(max(0, time - self._now()))
+
+    def observe(self, endpoint: EndpointId, sample: Sample) -> None:
+        """Takes an answer in and resolves whoever waited for it."""
+        before = self._samples.get(endpoint)
+        if before is not None and before.ordinal > sample.ordinal:
+            return
+        self._silent_since.pop(endpoint, None)
+        self._samples[endpoint] = sample
+        self._count_violations(endpoint, sample.status, before)
+        if sample.status.role is EndpointRole.REPLICA:
+            mark = sample.status.mark
+            self._readers.pass_up_to(mark, settler(mark))
+        if self._record.serving:
+            self._resolve_checks()
+            self._resolve_writes()
+
+    def _resolve_checks(self) -> None:
+        primary = self._samples.get(self._record.primary)
+        if primary is None:
+            return
+        point = check_point(
+            self._record.term,
+            primary,
+            (
+                sample
+                for endpoint, sample in self._samples.items()
+                if endpoint != self._record.primary
+            ),
+            len(self._controls),
+        )
+        if point is not None and self._points.add(point):
+            self._checks.pass_up_to(point.ordinal, settler(point.mark))
+            self._writes.pass_up_to(
+                point.ordinal,
+                lambda waiter: self._unheld.join(point.mark, waiter),
+            )
+
+    def _resolve_writes(self) -> None:
+        if self._replaced():
+            self._fail_waiters()
+        held = self._held_mark(self._record.term)
+        if held is not None:
+            self._unheld.pass_up_to(held, self._acknowledge(held))
+
+    def _replaced(self) -> bool:
+        """Tells whether a majority has left the record's term behind."""
+        later = [
+            endpoint
+            for endpoint, sample in self._samples.items()
+            if sample.status.term > self._record.term
+        ]
+        return len(later) >= self.majority
+
+    def _acknowledge(
+        self,
+        held: Mark,
+    ) -> Callable[[asyncio.Future[Found]], None]:
+        def acknowledge(waiter: asyncio.Future[Found]) -> None:
+            if self._replaced():
+                self._count(Violation.STALE_ACKNOWLEDGEMENT)
+            settle(waiter, Ok(held))
+
+        return acknowledge
+
+    def _held_mark(self, term: Term) -> Mark | None:
+        """Finds the highest mark that a majority holds in the term."""
+        primary = self._samples.get(self._record.primary)
+        if primary is None or not _leads(primary.status, term):
+            return None
+        marks = sorted(
+            (
+                sample.status.mark
+                for sample in self._samples.values()
+                if sample.status.term == term
+            ),
+            reverse=True,
+        )
+        if len(marks) < self.majority:
+            return None
+        return min(primary.status.mark, marks[self.majority - 1])
+
+    def _count_violations(
+        self,
+        endpoint: EndpointId,
+        status: EndpointStatus,
+        before: Sample | None,
+    ) -> None:
+        if before is not None and _went_back(before.status, status):
+            self._count(Violation.MARK_WENT_BACKWARDS)
+        rivals = [
+            other
+            for other, sample in self._samples.items()
+            if other != endpoint and _leads(sample.status, status.term)
+        ]
+        if rivals and _leads(status, status.term):
+            self._count(Violation.TWO_PRIMARIES)
+
+    def _waiter(self) -> asyncio.Future[Found]:
+        return asyncio.get_running_loop().create_future()
+
+    async def _join(
+        self,
+        waiters: Waiters[int],
+        term: Term,
+        deadline: float,
+    ) -> Found:
+        if term != self._record.term or not self._record.serving:
+            return Error(CheckFailure.STALE_TERM)
+        waiter = self._waiter()
+        waiters.join(next(self._ordinals), waiter)
+        return await self._settled(waiter, deadline)
+
+    async def _settled(
+        self,
+        waiter: asyncio.Future[Found],
+        deadline: float,
+    ) -> Found:
+        self._waiting += 1
+        self._wanted.set()
+        try:
+            return await settled(waiter, deadline)
+        finally:
+            self._waiting -= 1
+            if not self._waiting:
+                self._wanted.clear()
+
+
+def _leads(status: EndpointStatus, term: Term) -> bool:
+    return status.role is EndpointRole.PRIMARY and status.term == term
+
+
+def _went_back(before: EndpointStatus, after: EndpointStatus) -> bool:
+    # A fenced endpoint may drop a tail of its log when it follows.
+    same = before.term == after.term and before.role is after.role
+    return same and after.mark < before.mark
--- /dev/null
+++ b/packages/cowslipfork/tests/groups/test_tracker.py
@@ -0,0 +1,222 @@
+import asyncio
+from contextlib import asynccontextmanager, suppress
+from inspect import Signature, signature
+
+import pytest
+from expression import Error, Ok
+from fake_group import FakeGroup
+from virtual_time import now, run_virtual
+
+from cowslipfork.configuration import Failover, Group
+from cowslipfork.groups import (
+    CheckFailure,
+    ClaimerId,
+    EndpointRole,
+    Tracker,
+    first_record,
+)
+from cowslipfork.ids import EndpointId, GroupName, Mark, Term
+
+GROUP = Group(
+    GroupName('g'), 'g', tuple(EndpointId(f'e{i}') for i in (1, 2, 3))
+)
+E1, E2, E3 = GROUP.endpoints
+ONE = ClaimerId('vm1/1')
+STALE = Error(CheckFailure.STALE_TERM)
+SILENT = Error(CheckFailure.NO_MAJORITY)
+
+
+@asynccontextmanager
+async def tracking(group):
+    violations = []
+    tracker = Tracker(
+        first_record(GROUP),
+        group.controls('node'),
+        Failover(),
+        now,
+        violations.append,
+    )
+    tasks = [
+        asyncio.create_task(work) for work in (tracker.run(), group.replicate())
+    ]
+    try:
+        yield tracker
+    finally:
+        for task in tasks:
+            task.cancel()
+            with suppress(asyncio.CancelledError):
+                await task
+    assert not violations
+
+
+def virtual(test):
+    def wrapper(*args, **kwargs):
+        async def scenario():
+            group = FakeGroup()
+            async with tracking(group) as tracker:
+                await asyncio.sleep(0.3)
+                await test(group, tracker, *args, **kwargs)
+
+        run_virtual(scenario())
+
+    wrapper.__name__ = test.__name__
+    shown = list(signature(test).parameters.values())[2:]
+    wrapper.__signature__ = Signature(shown)
+    return wrapper
+
+
+def write(group, endpoint=E1, count=1):
+    server = group.servers[endpoint]
+    for _ in range(count):
+        mark = server.write(server.term, object())
+    return mark
+
+
+@virtual
+async def test_a_check_covers_what_was_written_before_it(group, tracker):
+    for count in range(1, 30):
+        mark = write(group)
+        found = await tracker.check(Term(1), now() + 1)
+        assert found == Ok(Mark(Term(1), count)) and found.ok == mark
+        # Waiting to a moment at which samples are under way.
+        await asyncio.sleep(0.0007 * count)
+
+
+@virtual
+async def test_checks_share_samples_and_rest_without_waiters(group, tracker):
+    before = group.servers[E1].asked
+    await asyncio.sleep(10)
+    slow = group.servers[E1].asked - before
+    assert slow <= 101
+    async with asyncio.TaskGroup() as waiters:
+        for _ in range(500):
+            waiters.create_task(tracker.check(Term(1), now() + 1))
+    assert group.servers[E1].asked - before - slow <= 3
+    until = now() + 2
+    while now() < until:
+        await tracker.check(Term(1), now() + 1)
+    busy = group.servers[E1].asked - before - slow
+    assert busy <= 2 / 0.005 + 5
+
+
+@pytest.mark.parametrize(
+    ('fault', 'found'),
+    [
+        ('none', Ok(Mark(Term(0), 0))),
+        ('one replica silent', Ok(Mark(Term(0), 0))),
+        ('one replica fenced later', Ok(Mark(Term(0), 0))),
+        ('both replicas silent', SILENT),
+        ('primary silent', SILENT),
+        ('primary frozen', SILENT),
+        ('replicas in a later term', STALE),
+        ('primary fenced', SILENT),
+    ],
+)
+@virtual
+async def test_only_a_majority_in_the_term_is_evidence(
+    group, tracker, fault, found
+):
+    match fault:
+        case 'one replica silent':
+            group.cut('node', E2)
+        case 'one replica fenced later':
+            group.servers[E2].fence(Term(2))
+        case 'both replicas silent':
+            group.cut('node', E2)
+            group.cut('node', E3)
+        case 'primary silent':
+            group.cut('node', E1)
+        case 'primary frozen':
+            group.servers[E1].thawed.clear()
+        case 'replicas in a later term':
+            group.servers[E2].fence(Term(2))
+            group.servers[E3].fence(Term(2))
+        case 'primary fenced':
+            group.servers[E1].fence(Term(2))
+    assert await tracker.check(Term(1), now() + 1) == found
+    assert await tracker.acknowledged(Term(1), now() + 1) == found
+
+
+@virtual
+async def test_a_write_is_acknowledged_when_a_majority_holds_it(group, tracker):
+    group.cut(E1, E2)
+    group.cut(E1, E3)
+    mark = write(group)
+    waiting = asyncio.create_task(tracker.acknowledged(Term(1), now() + 9))
+    assert await tracker.acknowledged(Term(1), now() + 1) == SILENT
+    assert not waiting.done()
+    group.cuts.remove(frozenset((E1, E3)))
+    assert await waiting == Ok(mark)
+
+
+@virtual
+async def test_a_newer_record_ends_the_waiting_of_the_term(group, tracker):
+    group.cut(E1, E2)
+    group.cut(E1, E3)
+    write(group)
+    waiting = asyncio.create_task(tracker.acknowledged(Term(1), now() + 9))
+    await asyncio.sleep(0.1)
+    claimed = tracker.record.claim(ONE)
+    assert tracker.adopt(claimed) and not tracker.adopt(first_record(GROUP))
+    assert await waiting == STALE
+    assert await tracker.check(Term(2), now() + 1) == STALE
+    assert tracker.adopt(claimed.publish(ONE, E2))
+    assert await tracker.check(Term(1), now() + 1) == STALE
+
+
+@virtual
+async def test_a_replica_cut_from_its_primary_grows_old(group, tracker):
+    group.cut(E1, E3)
+    cut_at = now()
+    await asyncio.sleep(1)
+    # Nothing was written: the replica is still proved to hold everything.
+    assert tracker.age(E3) < 0.2
+    write(group)
+    await asyncio.sleep(5)
+    assert tracker.age(E2) < 0.2
+    assert 4.9 < tracker.age(E3) < now() - cut_at
+    group.cut('node', E1)
+    await asyncio.sleep(5)
+    assert tracker.age(E2) > 4.9
+
+
+@virtual
+async def test_points_of_a_lost_tail_do_not_block_the_next_term(group, tracker):
+    write(group)
+    await asyncio.sleep(0.3)
+    group.cut(E1, E2)
+    group.cut(E1, E3)
+    write(group, count=5)
+    await asyncio.sleep(0.3)
+    for name in (E2, E3):
+        group.servers[name].fence(Term(2))
+    group.servers[E2].promote(Term(2))
+    group.servers[E3].follow(Term(2), group.servers[E2])
+    tracker.adopt(tracker.record.claim(ONE))
+    tracker.adopt(tracker.record.publish(ONE, E2))
+    found = await tracker.check(Term(2), now() + 1)
+    assert found == Ok(Mark(Term(1), 1))
+    assert tracker.age(E3) < 0.2
+
+
+@virtual
+async def test_readers_wait_for_a_replica(group, tracker):
+    group.cut(E1, E2)
+    group.cut(E1, E3)
+    mark = write(group)
+    assert await tracker.reached(mark, now() + 1) == SILENT
+    waiting = asyncio.create_task(tracker.reached(mark, now() + 1))
+    group.heal()
+    assert await waiting == Ok(mark)
+    assert group.servers[E2].role is EndpointRole.REPLICA
+
+
+@virtual
+async def test_a_silent_connection_is_no_dead_server(group, tracker):
+    group.deaf.add(('node', E1))
+    seen = []
+    for _ in range(500):
+        await asyncio.sleep(0.001)
+        seen.append(tracker.silence(E1))
+    assert 0.25 <= max(seen) < 0.26
+    assert seen[-1] == 0
