--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/carrier/group_carrier.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/carrier/group_carrier.py
@@ -120,7 +120,7 @@
             if not self._retries.may_retry():
                 break
             outcome = await attempt(request, kind)  # type: ignore[misc]
-        return outcome  # type: ignore[no-any-return]
+        return outcome
 
     async def _read(self, request: Request, kind: Kind) -> Outcome[Answer]:
         term = self._tracker.record.term
--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/endpoints/control.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/endpoints/control.py
@@ -7,6 +7,7 @@
     EndpointRole,
     EndpointSilent,
     EndpointStatus,
+    EndpointUnreachable,
     TermRefused,
 )
 from cowslipfork.ids import EndpointId, Mark, Position, Term
