Holdings: records in force, replaced only by later versions

Weighed: store revision as the only order (peers would have to be believed about it) against the order inside the record (revision; term and state) where there is one. Taken: the latter, bytes kept as they were written, so two contents of one version are seen, refused and counted.

--- a/packages/cowslipfork/src/cowslipfork/spread/__init__.py
+++ b/packages/cowslipfork/src/cowslipfork/spread/__init__.py
@@ -1,5 +1,25 @@
 """Configuration, group records and platform lists, in force everywhere."""
 
 from cowslipfork.spread.changes import ChangeLog
+from cowslipfork.spread.holdings import Holdings, RecordRefused, Refusal
+from cowslipfork.spread.record import (
+    HeldRecord,
+    RecordKind,
+    RecordUnreadable,
+    Version,
+    kind_of,
+    read_record,
+)
 
-__all__ = ('ChangeLog',)
+__all__ = (
+    'ChangeLog',
+    'HeldRecord',
+    'Holdings',
+    'RecordKind',
+    'RecordRefused',
+    'RecordUnreadable',
+    'Refusal',
+    'Version',
+    'kind_of',
+    'read_record',
+)
