Fleet: links, heartbeats, fetches and relays of a node

One task for each neighbour keeps a link; its stream keeps order, so each change is sent over it once, bounded to 100 reports and 100 records a heartbeat and 30 ms between heartbeats. Weighed: full mesh at any size (state and messages grow with the fleet); random gossip partners (needs repeats, no stream); rings in hash orders, two in the region and two over all: at most 8 links, logarithmic depth, agreed without a message; taken beyond 8 VMs. A configuration is announced and fetched once a node, not pushed over 8 links. Evidence: a broken stream plus a refused fresh connection is an ended process; a silent link is opened anew after 0.9 s, before suspicion at 1 s. asyncio.TaskGroup in a link lost a cancellation that raced with the end of the stream (Python 3.11): the node's task never ended; a plain child task does. Tested with the real loops under virtual time: spread, kill, leave, asymmetric cut, isolation, 10 min without store, regions apart, lost failure domain.

--- /dev/null
+++ b/packages/cowslipfork/src/cowslipfork/membership/listing.py
@@ -0,0 +1,49 @@
+"""The platform's list of VMs, as nodes hold it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from types import MappingProxyType
+
+from cowslipfork.ids import FailureDomain, RegionName, VmId
+from cowslipfork.membership.member import ListedVm
+from cowslipfork.membership.rendezvous import Place
+from cowslipfork.spread.holdings import Holdings
+from cowslipfork.spread.record import VMS_PREFIX
+from cowslipfork.wire import records_pb2
+
+RegionOf = Callable[[FailureDomain], RegionName]
+
+
+def listed_vms(
+    holdings: Holdings,
+    region_of: RegionOf,
+) -> MappingProxyType[VmId, ListedVm]:
+    """Reads the platform's list.
+
+    Args:
+        holdings: records that the node holds.
+        region_of: tells the region of a failure domain.
+
+    Returns:
+        VMs that the platform names.
+    """
+    entries = (
+        records_pb2.PlatformEntry.FromString(record.content or b'')
+        for record in holdings.below(VMS_PREFIX)
+    )
+    return MappingProxyType(
+        {VmId(entry.name): _listed(entry, region_of) for entry in entries},
+    )
+
+
+def _listed(
+    entry: records_pb2.PlatformEntry,
+    region_of: RegionOf,
+) -> ListedVm:
+    domain = FailureDomain(entry.failure_domain)
+    return ListedVm(
+        Place(VmId(entry.name), domain, region_of(domain)),
+        f'{entry.host}:{entry.port}',
+        leaving=entry.state == records_pb2.VM_STATE_LEAVING,
+    )
--- a/packages/cowslipfork/src/cowslipfork/membership/members.py
+++ b/packages/cowslipfork/src/cowslipfork/membership/members.py
@@ -132,6 +132,14 @@
             state=self._own.state if leaving else own.state,
         )
 
+    def refresh(self, store_age: float | None) -> None:
+        """Renews how old the node's knowledge of the store is.
+
+        Args:
+            store_age: seconds; None if unknown.
+        """
+        self._own = replace(self._own, store_age=store_age)
+
     def heard(
         self,
         report: Report,
--- a/packages/cowslipfork/src/cowslipfork/spread/holdings.py
+++ b/packages/cowslipfork/src/cowslipfork/spread/holdings.py
@@ -4,9 +4,7 @@
 
 from collections.abc import Callable, Iterable, Iterator, Sequence
 from enum import Enum, unique
-from functools import reduce
 from itertools import chain, repeat
-from operator import xor
 from typing import TypeAlias
 
 import xxhash
@@ -76,6 +74,7 @@
             {} for _ in range(BUCKETS)
         ]
         self._digests = list(repeat(0, BUCKETS))
+        self._digest = 0
         self._changes: ChangeLog[str] = ChangeLog()
         self._watchers: list[Watcher] = []
         self._diverged = diverged
@@ -89,7 +88,7 @@
     @property
     def digest(self) -> int:
         """64 bits over keys and versions of all records."""
-        return reduce(xor, self._digests)
+        return self._digest
 
     @property
     def digests(self) -> Sequence[int]:
@@ -214,9 +213,11 @@
 
     def _replace(self, held: HeldRecord | None, record: HeldRecord) -> None:
         number = xxhash.xxh3_64_intdigest(record.key.encode()) % BUCKETS
+        change = _fingerprint(record)
         if held:
-            self._digests[number] ^= _fingerprint(held)
-        self._digests[number] ^= _fingerprint(record)
+            change ^= _fingerprint(held)
+        self._digests[number] ^= change
+        self._digest ^= change
         self._buckets[number][record.key] = record
         self._records[record.key] = record
 
--- /dev/null
+++ b/packages/cowslipfork/tests/fakes/fake_fleet.py
@@ -0,0 +1,132 @@
+"""Several nodes in one loop: the real control loops, small fakes around."""
+
+from __future__ import annotations
+
+import asyncio
+from functools import partial
+
+from cowslipfork.ids import FailureDomain, Incarnation, RegionName, VmId
+from cowslipfork.membership.fleet import Fleet
+from cowslipfork.membership.member import MemberState, Report
+from cowslipfork.membership.members import Members
+from cowslipfork.membership.memory import MemoryNetwork, MemoryPeers
+from cowslipfork.membership.rendezvous import Place
+from cowslipfork.spread.fetch import answer
+from cowslipfork.spread.holdings import Holdings
+from cowslipfork.spread.record import CONFIGURATION_KEY
+from cowslipfork.spread.relay import Relay
+from cowslipfork.store.memory import MemoryStore
+from cowslipfork.wire import records_pb2
+
+
+def region_of(domain):
+    return RegionName(domain.split('-')[0])
+
+
+class FakeNode:
+    def __init__(self, world, name, domain, incarnation):
+        self.name = VmId(name)
+        place = Place(
+            self.name,
+            FailureDomain(domain),
+            region_of(domain),
+        )
+        now = asyncio.get_running_loop().time()
+        own = Report(place, name, Incarnation(incarnation))
+        self.members = Members(own, now)
+        self.diverged = []
+        self.holdings = Holdings(self.diverged.append)
+        self.fleet = Fleet(
+            self.members,
+            self.holdings,
+            MemoryPeers(world.network, name),
+            region_of,
+            lambda: Relay(
+                world.store,
+                self.holdings,
+                self.fleet.store_seen,
+            ).run(),
+        )
+        world.network.listen(
+            name,
+            self.fleet.serve,
+            partial(answer, self.holdings),
+        )
+        self.task = asyncio.create_task(self.fleet.run(world.seeds(name)))
+
+    def states(self):
+        return {
+            vm: member.state.value for vm, member in self.members.all.items()
+        }
+
+
+class FakeWorld:
+    def __init__(self):
+        self.network = MemoryNetwork()
+        self.store = MemoryStore()
+        self.nodes = {}
+        self.starts = 0
+
+    def seeds(self, name):
+        return [other for other in self.nodes if other != name][:2]
+
+    def start(self, name, domain='punjab-1'):
+        self.starts += 1
+        self.nodes[name] = FakeNode(self, name, domain, self.starts)
+
+    async def kill(self, name):
+        node = self.nodes.pop(name)
+        self.network.kill(name)
+        node.task.cancel()
+        await asyncio.gather(node.task, return_exceptions=True)
+
+    async def stop(self):
+        for name in list(self.nodes):
+            await self.kill(name)
+
+    def accept(self, revision, base='base'):
+        record = records_pb2.ConfigurationRecord(revision=revision, base=base)
+        self.store.put(CONFIGURATION_KEY, record.SerializeToString())
+
+    def part(self, some, others):
+        for one in some:
+            for other in others:
+                self.network.cut(one, other)
+                self.network.cut(other, one)
+
+    def revisions(self):
+        return {node.holdings.revision for node in self.nodes.values()}
+
+    def seen_as(self, name):
+        return {
+            node.members.all[name].state
+            for node in self.nodes.values()
+            if node.name != name and name in node.members.all
+        }
+
+    def all_live(self):
+        return all(
+            node.states().get(VmId(name)) == MemberState.LIVE.value
+            for node in self.nodes.values()
+            for name in self.nodes
+            if name != node.name
+        )
+
+
+async def until(condition, seconds):
+    """Waits under virtual time; returns the seconds that it took."""
+    loop = asyncio.get_running_loop()
+    began = loop.time()
+    while not condition():
+        if loop.time() - began > seconds:
+            raise AssertionError(f'not within {seconds} s')
+        await asyncio.sleep(0.01)
+    return loop.time() - began
+
+
+async def five_nodes():
+    world = FakeWorld()
+    for number in range(5):
+        world.start(f'vm{number}', f'punjab-{number % 4}')
+    await until(world.all_live, 5)
+    return world
