--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/endpoints/connection.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/endpoints/connection.py
@@ -33,18 +33,24 @@
 class ConnectionBroken(CowslipforkError):
     """A connection ended or stayed silent; a sent statement may have run."""
 
-    def __init__(self, endpoint: EndpointId, cause: str, *, sent: bool) -> None:
+    def __init__(
+        self,
+        endpoint: EndpointId,
+        cause: str,
+        *,
+        refused: bool = False,
+    ) -> None:
         """Remembers what broke.
 
         Args:
             endpoint: the endpoint of the connection.
             cause: time-out or error of the driver.
-            sent: whether a statement may have reached the endpoint.
+            refused: whether nobody listens at the endpoint's address.
         """
         super().__init__(f'connection to endpoint {endpoint} broke: {cause}')
         self.endpoint = endpoint
         self.cause = cause
-        self.sent = sent
+        self.refused = refused
 
 
 class EndpointRefused(CowslipforkError):
@@ -236,16 +242,11 @@
             whole = _from_endpoint(errno)
             if whole:
                 raise EndpointRefused(self._endpoint, errno, text) from error
-            raise ConnectionBroken(
-                self._endpoint,
-                text,
-                sent=True,
-            ) from error
+            raise ConnectionBroken(self._endpoint, text) from error
         except (OSError, TimeoutError, EOFError) as broken:
             raise ConnectionBroken(
                 self._endpoint,
                 str(broken) or type(broken).__name__,
-                sent=True,
             ) from broken
         finally:
             if not whole:
@@ -288,12 +289,15 @@
         errno, text = _error_packet(error)
         if _from_endpoint(errno):
             raise EndpointRefused(endpoint.name, errno, text) from error
-        raise ConnectionBroken(endpoint.name, text, sent=False) from error
+        raise ConnectionBroken(
+            endpoint.name,
+            text,
+            refused=isinstance(error.__cause__, ConnectionError),
+        ) from error
     except (OSError, TimeoutError, EOFError) as broken:
         raise ConnectionBroken(
             endpoint.name,
             str(broken) or type(broken).__name__,
-            sent=False,
         ) from broken
     return EndpointConnection(endpoint.name, raw)
 
--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/endpoints/control.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/endpoints/control.py
@@ -107,7 +107,8 @@
                 )
             rows = await kept.fetch(sql, timeout)
         except ConnectionBroken as broken:
-            raise EndpointSilent(self._endpoint.name, broken.cause) from broken
+            failure = EndpointUnreachable if broken.refused else EndpointSilent
+            raise failure(self._endpoint.name, broken.cause) from broken
         except EndpointRefused as refused:
             if term is not None and refused.errno == Reason.STALE_TERM.value:
                 raise TermRefused(self._endpoint.name, term) from refused
--- /dev/null
+++ b/packages/cowslipfork/src/cowslipfork/logs.py
@@ -0,0 +1,96 @@
+"""Logs: one line of key=value pairs, or of JSON, for each event."""
+
+from __future__ import annotations
+
+import logging
+import sys
+from typing import Final
+
+from pythonjsonlogger.json import JsonFormatter
+
+from cowslipfork.configuration import LogFormat
+
+#: Attributes that every record has; all others are the event's own fields.
+_STANDARD: Final = frozenset(
+    (*logging.makeLogRecord({}).__dict__, 'message', 'asctime', 'taskName'),
+)
+
+
+class KeyValueFormatter(logging.Formatter):
+    """Formats an event as ``time=... level=... event=... key=value``."""
+
+    def __init__(self, vm: str) -> None:
+        """Remembers whose events they are.
+
+        Args:
+            vm: name of the VM.
+        """
+        super().__init__()
+        self._vm = vm
+
+    def format(self, record: logging.LogRecord) -> str:
+        """Formats one event.
+
+        Args:
+            record: the event; its message names it, ``extra`` has its fields.
+
+        Returns:
+            One line.
+        """
+        pairs = {
+            'time': self.formatTime(record),
+            'level': record.levelname.lower(),
+            'vm': self._vm,
+            'event': record.getMessage(),
+            **fields_of(record),
+        }
+        if record.exc_info:
+            pairs['error'] = self.formatException(record.exc_info)
+        return ' '.join(f'{key}={_quoted(pairs[key])}' for key in pairs)
+
+
+def fields_of(record: logging.LogRecord) -> dict[str, object]:
+    """Gives an event's own fields.
+
+    Args:
+        record: the event.
+
+    Returns:
+        Fields by name.
+    """
+    return {
+        key: field
+        for key, field in record.__dict__.items()
+        if key not in _STANDARD
+    }
+
+
+def set_up_logs(vm: str, log_format: LogFormat) -> None:
+    """Sends events to standard output.
+
+    Args:
+        vm: name of the VM.
+        log_format: how a line is written.
+    """
+    handler = logging.StreamHandler(sys.stdout)
+    if log_format is LogFormat.JSON:
+        handler.setFormatter(
+            JsonFormatter(
+                '%(asctime)s %(levelname)s %(message)s',
+                rename_fields={'message': 'event'},
+                static_fields={'vm': vm},
+            ),
+        )
+    else:
+        handler.setFormatter(KeyValueFormatter(vm))
+    logging.basicConfig(level=logging.INFO, handlers=[handler], force=True)
+    # The library reports each refused login and statement as an error.
+    logging.getLogger('mysql_mimic').setLevel(logging.CRITICAL)
+
+
+def _quoted(field: object) -> str:
+    text = str(field).replace('\n', ' | ')
+    if not text or set(text) & {' ', '=', '"'}:
+        escaped = text.replace('"', "'")
+        return f'"{escaped}"'
+    return text
