Stand-ins of a database server and of the platform's store

Nodes, claimers and carriers can only be tried against something that refuses terms, runs out of slots and loses answers, so these come first.

--- /dev/null
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/cli.py
@@ -0,0 +1,82 @@
+"""Command line of the lab."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import signal
+import sys
+from collections.abc import Coroutine
+from typing import Annotated, Any
+
+import typer
+import uvloop
+
+from cowslipfork_lab.endpoint import EndpointSettings, run_endpoint
+from cowslipfork_lab.store import run_store
+
+app = typer.Typer(no_args_is_help=True, add_completion=False)
+
+_PRIMARY_HELP = 'host:port of the first primary to follow; self to be it.'
+
+
+def main() -> None:
+    """Runs the command line."""
+    app()
+
+
+@app.callback()
+def set_up() -> None:
+    """Stand-ins of the platform, load and experiment tool."""
+    logging.basicConfig(
+        stream=sys.stderr,
+        level=logging.INFO,
+        format='%(asctime)s level=%(levelname)s logger=%(name)s %(message)s',
+    )
+    logging.getLogger('mysql_mimic').setLevel(logging.CRITICAL)
+
+
+@app.command()
+def endpoint(
+    name: Annotated[str, typer.Option(help='Endpoint id.')],
+    port: Annotated[int, typer.Option(help='MySQL protocol; 0: any.')] = 0,
+    control_port: Annotated[int, typer.Option(help='Faults; 0: any.')] = 0,
+    slots: Annotated[int, typer.Option(help='Statements at once.')] = 3,
+    connections: Annotated[int, typer.Option(help='Clients at once.')] = 20,
+    primary: Annotated[str, typer.Option(help=_PRIMARY_HELP)] = '',
+    journal: Annotated[str, typer.Option(help='File that keeps the log.')] = '',
+) -> None:
+    """Runs a stand-in of a database server on the loopback address."""
+    settings = EndpointSettings(
+        name=name,
+        port=port,
+        control_port=control_port,
+        slots=slots,
+        connections=connections,
+        primary=primary,
+        journal=journal,
+    )
+    run_until_signal(run_endpoint(settings))
+
+
+@app.command()
+def store(port: int = 0) -> None:
+    """Runs a stand-in of the platform's store."""
+    run_until_signal(run_store(port))
+
+
+def run_until_signal(work: Coroutine[Any, Any, None]) -> None:
+    """Runs a server until SIGTERM or ctrl-C.
+
+    Args:
+        work: the server.
+    """
+    uvloop.run(_until_signal(work))
+
+
+async def _until_signal(work: Coroutine[Any, Any, None]) -> None:
+    loop = asyncio.get_running_loop()
+    task = asyncio.create_task(work)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, task.cancel)
+    await asyncio.gather(task, return_exceptions=False)
