Lab: driver of whole clusters and a TCP relay for delays and cuts

Demo, load and experiments need a store, groups of endpoints and nodes as real processes that never outlive the driver. Plans come from the sample deployments, so what runs is what operators read.

Weighed for the relay: a process for each link, or one address for each process; loopback connections share one source address, so the relay finds the owner of a connection in /proc instead. The first relay hung when a refused direction ended while its reader waited; a test holds that now. One test of mine gave three endpoints the same port, which the configuration rightly refuses; the test was wrong and now gives each its own.

--- a/packages/cowslipfork-lab/src/cowslipfork_lab/cli.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/cli.py
@@ -13,6 +13,7 @@
 import uvloop
 
 from cowslipfork_lab.endpoint import EndpointSettings, run_endpoint
+from cowslipfork_lab.relay import run_relay
 from cowslipfork_lab.store import run_store
 
 app = typer.Typer(no_args_is_help=True, add_completion=False)
@@ -65,6 +66,12 @@
     run_until_signal(run_store(port))
 
 
+@app.command()
+def relay() -> None:
+    """Runs a TCP relay that obeys JSON lines on its stdin."""
+    run_until_signal(run_relay())
+
+
 def run_until_signal(work: Coroutine[Any, Any, None]) -> None:
     """Runs a server until SIGTERM or ctrl-C.
 
--- /dev/null
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/cluster/node.py
@@ -0,0 +1,67 @@
+"""Settings file of one node."""
+
+from __future__ import annotations
+
+import configparser
+from dataclasses import asdict, dataclass
+from pathlib import Path
+
+from cowslipfork.ids import FailureDomain, SiteName, VmId
+from cowslipfork_lab.cluster.plan import LOOPBACK
+
+
+@dataclass(frozen=True, slots=True)
+class NodePorts:
+    """Ports of a node."""
+
+    caller_port: int
+    peer_port: int
+    metrics_port: int
+
+
+@dataclass(frozen=True, slots=True)
+class Node:
+    """A node of the cluster.
+
+    Attributes:
+        vm: its name.
+        failure_domain: where it pretends to run.
+        ports: its ports.
+    """
+
+    vm: VmId
+    failure_domain: FailureDomain
+    ports: NodePorts
+
+    def write_settings(
+        self,
+        directory: Path,
+        site: SiteName,
+        store_port: int,
+        peer_ports: list[int],
+    ) -> Path:
+        """Writes its INI file.
+
+        Args:
+            directory: run directory.
+            site: its site.
+            store_port: port of the store.
+            peer_ports: ports of a few other nodes.
+
+        Returns:
+            The file.
+        """
+        parser = configparser.ConfigParser(interpolation=None)
+        parser['node'] = {
+            'vm': self.vm,
+            'failure_domain': self.failure_domain,
+            'site': site,
+            'host': LOOPBACK,
+            'store': f'{LOOPBACK}:{store_port}',
+            'peers': ', '.join(f'{LOOPBACK}:{port}' for port in peer_ports),
+            **{key: str(port) for key, port in asdict(self.ports).items()},
+        }
+        path = directory / f'{self.vm}.ini'
+        with path.open('w') as settings:
+            parser.write(settings)
+        return path
--- /dev/null
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/relay/__init__.py
@@ -0,0 +1,9 @@
+"""TCP relay between processes of the lab: delays and cuts."""
+
+from __future__ import annotations
+
+from cowslipfork_lab.relay.relay import Relay
+from cowslipfork_lab.relay.rules import Passage, Rule, Rules
+from cowslipfork_lab.relay.service import run_relay
+
+__all__ = ['Passage', 'Relay', 'Rule', 'Rules', 'run_relay']
