--- /dev/null
+++ b/packages/cowslipfork/src/cowslipfork/groups/_evidence.py
@@ -0,0 +1,126 @@
+"""What the latest samples of a group's endpoints prove together."""
+
+from __future__ import annotations
+
+from collections.abc import Collection, Iterable, Iterator, Mapping
+
+from cowslipfork.groups.check import CheckPoint, Sample, Violation
+from cowslipfork.groups.port import EndpointRole, EndpointStatus
+from cowslipfork.ids import EndpointId, Mark, Term
+
+
+def majority_of(endpoints: int) -> int:
+    """Gives the smallest majority of a number of endpoints."""
+    return endpoints // 2 + 1
+
+
+def check_point(
+    term: Term,
+    primary: Sample,
+    others: Iterable[Sample],
+    endpoints: int,
+) -> CheckPoint | None:
+    """Finds the newest check that the latest samples complete.
+
+    Args:
+        term: the term to prove.
+        primary: latest sample of the term's primary.
+        others: latest samples of the endpoints; the primary may be among
+            them.
+        endpoints: number of endpoints of the group.
+
+    Returns:
+        The check, or None without a majority in the term.
+    """
+    status = primary.status
+    if not leads(status, term):
+        return None
+    samples = sorted(
+        (
+            sample
+            for sample in others
+            if sample.status.term == term and sample is not primary
+        ),
+        key=lambda sample: sample.ordinal,
+        reverse=True,
+    )
+    needed = majority_of(endpoints) - 1
+    if len(samples) < needed:
+        return None
+    earliest = min(
+        (primary, *samples[:needed]),
+        key=lambda sample: sample.ordinal,
+    )
+    return CheckPoint(earliest.ordinal, earliest.begun, status.mark)
+
+
+def held_mark(
+    term: Term,
+    primary: Sample,
+    samples: Collection[Sample],
+    endpoints: int,
+) -> Mark | None:
+    """Finds the highest mark that a majority holds in a term.
+
+    Args:
+        term: the term to prove.
+        primary: latest sample of the term's primary.
+        samples: latest samples of all endpoints, the primary included.
+        endpoints: number of endpoints of the group.
+
+    Returns:
+        The mark, which the primary holds too; None without a majority.
+    """
+    if not leads(primary.status, term):
+        return None
+    marks = sorted(
+        (
+            sample.status.mark
+            for sample in samples
+            if sample.status.term == term
+        ),
+        reverse=True,
+    )
+    needed = majority_of(endpoints)
+    if len(marks) < needed:
+        return None
+    return min(primary.status.mark, marks[needed - 1])
+
+
+def replaced(
+    term: Term,
+    samples: Iterable[Sample],
+    endpoints: int,
+) -> bool:
+    """Tells whether a majority has left a term behind."""
+    later = sum(sample.status.term > term for sample in samples)
+    return later >= majority_of(endpoints)
+
+
+def leads(status: EndpointStatus, term: Term) -> bool:
+    """Tells whether an endpoint says that it is the primary of a term."""
+    return status.role is EndpointRole.PRIMARY and status.term == term
+
+
+def violations(
+    endpoint: EndpointId,
+    status: EndpointStatus,
+    samples: Mapping[EndpointId, Sample],
+) -> Iterator[Violation]:
+    """Finds invariants that an answer breaks against earlier answers."""
+    before = samples.get(endpoint)
+    if before is not None and _went_back(before.status, status):
+        yield Violation.MARK_WENT_BACKWARDS
+    rivals = any(
+        leads(sample.status, status.term)
+        for other, sample in samples.items()
+        if other != endpoint
+    )
+    if rivals and leads(status, status.term):
+        yield Violation.TWO_PRIMARIES
+
+
+def _went_back(before: EndpointStatus, after: EndpointStatus) -> bool:
+    # A fenced endpoint may drop a tail of its log when it follows.
+    same = before.term == after.term and before.role is after.role
+    return same and after.mark < before.mark
--- a/packages/cowslipfork/src/cowslipfork/groups/tracker.py
+++ b/packages/cowslipfork/src/cowslipfork/groups/tracker.py
@@ -9,7 +9,14 @@
 from expression import Error, Ok
 
 from cowslipfork.configuration import Failover
-from cowslipfork.groups._proof import ProvedPoints, check_point, majority_of
+from cowslipfork.groups._evidence import (
+    check_point,
+    held_mark,
+    majority_of,
+    replaced,
+    violations,
+)
+from cowslipfork.groups._proof import ProvedPoints
 from cowslipfork.groups._waiters import (
     Found,
     Waiters,
@@ -78,6 +85,7 @@
         self._readers: Waiters[Mark] = Waiters()
         self._waiting = 0
         self._wanted = asyncio.Event()
+        self._adopted = asyncio.Event()
 
     @property
     def record(self) -> GroupRecord:
@@ -114,6 +122,8 @@
             return False
         self._record = record
         self._fail_waiters()
+        self._adopted.set()
+        self._adopted = asyncio.Event()
         return True
 
     def _fail_waiters(self) -> None:
@@ -122,6 +132,28 @@
         for marked in (self._unheld, self._readers):
             marked.fail(CheckFailure.STALE_TERM)
 
+    @property
+    def waiting(self) -> int:
+        """Number of calls that wait for samples."""
+        return self._waiting
+
+    async def served(self, deadline: float) -> bool:
+        """Waits until the record names a primary.
+
+        Args:
+            deadline: loop time in seconds.
+
+        Returns:
+            Whether it does before the deadline.
+        """
+        try:
+            async with asyncio.timeout_at(deadline):
+                while not self._record.serving:
+                    await self._adopted.wait()
+        except TimeoutError:
+            return False
+        return True
+
     def status(self, endpoint: EndpointId) -> EndpointStatus | None:
         """Gives an endpoint's last answer, however old."""
         sample = self._samples.get(endpoint)
@@ -145,6 +177,19 @@
         point = self._points.holding(sample.status.mark)
         return None if point is None else self._now() - point.begun
 
+    def behind(self, endpoint: EndpointId) -> float | None:
+        """Gives the seconds for which an endpoint has lacked a known mark.
+
+        Returns:
+            0 if it lacks nothing that a check found; None if it never
+            answered.
+        """
+        sample = self._samples.get(endpoint)
+        if sample is None:
+            return None
+        since = self._points.lacking_since(sample.status.mark)
+        return 0 if since is None else self._now() - since
+
     async def check(self, term: Term, deadline: float) -> Found:
         """Learns a mark that covers every write acknowledged until now.
 
@@ -225,97 +270,46 @@
         before = self._samples.get(endpoint)
         if before is not None and before.ordinal > sample.ordinal:
             return
+        for violation in violations(endpoint, sample.status, self._samples):
+            self._count(violation)
         self._silent_since.pop(endpoint, None)
         self._samples[endpoint] = sample
-        self._count_violations(endpoint, sample.status, before)
         if sample.status.role is EndpointRole.REPLICA:
             mark = sample.status.mark
             self._readers.pass_up_to(mark, settler(mark))
-        if self._record.serving:
-            self._resolve_checks()
-            self._resolve_writes()
-
-    def _resolve_checks(self) -> None:
         primary = self._samples.get(self._record.primary)
-        if primary is None:
-            return
-        point = check_point(
-            self._record.term,
-            primary,
-            (
-                sample
-                for endpoint, sample in self._samples.items()
-                if endpoint != self._record.primary
-            ),
-            len(self._controls),
-        )
+        if self._record.serving and primary is not None:
+            self._resolve(primary)
+
+    def _resolve(self, primary: Sample) -> None:
+        term = self._record.term
+        samples = self._samples.values()
+        endpoints = len(self._controls)
+        if replaced(term, samples, endpoints):
+            self._fail_waiters()
+        point = check_point(term, primary, samples, endpoints)
         if point is not None and self._points.add(point):
             self._checks.pass_up_to(point.ordinal, settler(point.mark))
             self._writes.pass_up_to(
                 point.ordinal,
                 lambda waiter: self._unheld.join(point.mark, waiter),
             )
-
-    def _resolve_writes(self) -> None:
-        if self._replaced():
-            self._fail_waiters()
-        held = self._held_mark(self._record.term)
+        held = held_mark(term, primary, samples, endpoints)
         if held is not None:
             self._unheld.pass_up_to(held, self._acknowledge(held))
 
-    def _replaced(self) -> bool:
-        """Tells whether a majority has left the record's term behind."""
-        later = [
-            endpoint
-            for endpoint, sample in self._samples.items()
-            if sample.status.term > self._record.term
-        ]
-        return len(later) >= self.majority
-
     def _acknowledge(
         self,
         held: Mark,
     ) -> Callable[[asyncio.Future[Found]], None]:
         def acknowledge(waiter: asyncio.Future[Found]) -> None:
-            if self._replaced():
+            samples = self._samples.values()
+            if replaced(self._record.term, samples, len(self._controls)):
                 self._count(Violation.STALE_ACKNOWLEDGEMENT)
             settle(waiter, Ok(held))
 
         return acknowledge
 
-    def _held_mark(self, term: Term) -> Mark | None:
-        """Finds the highest mark that a majority holds in the term."""
-        primary = self._samples.get(self._record.primary)
-        if primary is None or not _leads(primary.status, term):
-            return None
-        marks = sorted(
-            (
-                sample.status.mark
-                for sample in self._samples.values()
-                if sample.status.term == term
-            ),
-            reverse=True,
-        )
-        if len(marks) < self.majority:
-            return None
-        return min(primary.status.mark, marks[self.majority - 1])
-
-    def _count_violations(
-        self,
-        endpoint: EndpointId,
-        status: EndpointStatus,
-        before: Sample | None,
-    ) -> None:
-        if before is not None and _went_back(before.status, status):
-            self._count(Violation.MARK_WENT_BACKWARDS)
-        rivals = [
-            other
-            for other, sample in self._samples.items()
-            if other != endpoint and _leads(sample.status, status.term)
-        ]
-        if rivals and _leads(status, status.term):
-            self._count(Violation.TWO_PRIMARIES)
-
     def _waiter(self) -> asyncio.Future[Found]:
         return asyncio.get_running_loop().create_future()
 
@@ -344,13 +338,3 @@
             self._waiting -= 1
             if not self._waiting:
                 self._wanted.clear()
-
-
-def _leads(status: EndpointStatus, term: Term) -> bool:
-    return status.role is EndpointRole.PRIMARY and status.term == term
-
-
-def _went_back(before: EndpointStatus, after: EndpointStatus) -> bool:
-    # A fenced endpoint may drop a tail of its log when it follows.
-    same = before.term == after.term and before.role is after.role
-    return same and after.mark < before.mark
--- /dev/null
+++ b/packages/cowslipfork/src/cowslipfork/reads/__init__.py
@@ -0,0 +1,14 @@
+"""Reading rules: which endpoints provably serve a read."""
+
+from cowslipfork.reads.choose import choose
+from cowslipfork.reads.eligible import Candidate, Standing, candidates
+from cowslipfork.reads.need import Need, need_of
+
+__all__ = (
+    'Candidate',
+    'Need',
+    'Standing',
+    'candidates',
+    'choose',
+    'need_of',
+)
--- /dev/null
+++ b/packages/cowslipfork/src/cowslipfork/sessions/__init__.py
@@ -0,0 +1,1 @@
+"""Sessions: read-your-writes through any node."""
--- a/packages/cowslipfork/tests/groups/test_tracker.py
+++ b/packages/cowslipfork/tests/groups/test_tracker.py
@@ -1,77 +1,17 @@
 import asyncio
-from contextlib import asynccontextmanager, suppress
-from inspect import Signature, signature
 
 import pytest
 from expression import Error, Ok
-from fake_group import FakeGroup
-from virtual_time import now, run_virtual
-
-from cowslipfork.configuration import Failover, Group
-from cowslipfork.groups import (
-    CheckFailure,
-    ClaimerId,
-    EndpointRole,
-    Tracker,
-    first_record,
-)
-from cowslipfork.ids import EndpointId, GroupName, Mark, Term
+from tracked import E1, E2, E3, GROUP, ONE, replace_primary, virtual, write
+from virtual_time import now
+
+from cowslipfork.groups import CheckFailure, EndpointRole, first_record
+from cowslipfork.ids import Mark, Term
 
-GROUP = Group(
-    GroupName('g'), 'g', tuple(EndpointId(f'e{i}') for i in (1, 2, 3))
-)
-E1, E2, E3 = GROUP.endpoints
-ONE = ClaimerId('vm1/1')
 STALE = Error(CheckFailure.STALE_TERM)
 SILENT = Error(CheckFailure.NO_MAJORITY)
 
 
-@asynccontextmanager
-async def tracking(group):
-    violations = []
-    tracker = Tracker(
-        first_record(GROUP),
-        group.controls('node'),
-        Failover(),
-        now,
-        violations.append,
-    )
-    tasks = [
-        asyncio.create_task(work) for work in (tracker.run(), group.replicate())
-    ]
-    try:
-        yield tracker
-    finally:
-        for task in tasks:
-            task.cancel()
-            with suppress(asyncio.CancelledError):
-                await task
-    assert not violations
-
-
-def virtual(test):
-    def wrapper(*args, **kwargs):
-        async def scenario():
-            group = FakeGroup()
-            async with tracking(group) as tracker:
-                await asyncio.sleep(0.3)
-                await test(group, tracker, *args, **kwargs)
-
-        run_virtual(scenario())
-
-    wrapper.__name__ = test.__name__
-    shown = list(signature(test).parameters.values())[2:]
-    wrapper.__signature__ = Signature(shown)
-    return wrapper
-
-
-def write(group, endpoint=E1, count=1):
-    server = group.servers[endpoint]
-    for _ in range(count):
-        mark = server.write(server.term, object())
-    return mark
-
-
 @virtual
 async def test_a_check_covers_what_was_written_before_it(group, tracker):
     for count in range(1, 30):
@@ -188,12 +128,7 @@
     group.cut(E1, E3)
     write(group, count=5)
     await asyncio.sleep(0.3)
-    for name in (E2, E3):
-        group.servers[name].fence(Term(2))
-    group.servers[E2].promote(Term(2))
-    group.servers[E3].follow(Term(2), group.servers[E2])
-    tracker.adopt(tracker.record.claim(ONE))
-    tracker.adopt(tracker.record.publish(ONE, E2))
+    replace_primary(group, tracker)
     found = await tracker.check(Term(2), now() + 1)
     assert found == Ok(Mark(Term(1), 1))
     assert tracker.age(E3) < 0.2
