--- /dev/null
+++ b/packages/cowslipfork/src/cowslipfork/configuration/records.py
@@ -0,0 +1,122 @@
+"""Keys and records of accepted changes in the platform's store."""
+
+from __future__ import annotations
+
+from typing import TypeVar
+
+from google.protobuf.message import DecodeError
+
+from cowslipfork.errors import CowslipforkError
+from cowslipfork.ids import Revision
+from cowslipfork.wire.records_pb2 import AuditRecord, ConfigurationRecord
+
+_Record = TypeVar('_Record', AuditRecord, ConfigurationRecord)
+
+CURRENT_KEY = '/cowslipfork/configuration/current'
+_CONFIGURATION_PREFIX = '/cowslipfork/configuration/'
+_AUDIT_PREFIX = '/cowslipfork/audit/'
+
+_REVISION_DIGITS = 12
+
+#: Audit records that one list call returns.
+RECORDS_PER_LIST = 10
+
+#: Texts kept for rollbacks, with the current one.
+KEPT_CONFIGURATIONS = 50
+
+#: Audit records kept in the store.
+KEPT_AUDIT_RECORDS = 20_000
+
+#: Longest record. A change writes it twice in one transaction, for which a
+#: store of the etcd kind takes 1.5 MiB.
+MAX_RECORD_BYTES = 700_000
+
+
+class RecordUnreadable(CowslipforkError):
+    """A value in the store is not what its key promises."""
+
+    def __init__(self, key: str) -> None:
+        """Remembers the key.
+
+        Args:
+            key: key of the value.
+        """
+        super().__init__(f'the store has no readable record at {key}')
+        self.key = key
+
+
+def configuration_key(revision: int) -> str:
+    """Names the key of a revision's text."""
+    return f'{_CONFIGURATION_PREFIX}{revision:0{_REVISION_DIGITS}}'
+
+
+def audit_key(revision: int) -> str:
+    """Names the key of a revision's audit record."""
+    return f'{_AUDIT_PREFIX}{revision:0{_REVISION_DIGITS}}'
+
+
+def audit_prefix(revision: int) -> str:
+    """Names the prefix of ten audit records, the revision's among them."""
+    return audit_key(revision)[:-1]
+
+
+def decode_configuration(key: str, content: bytes) -> ConfigurationRecord:
+    """Reads an accepted configuration.
+
+    Args:
+        key: key that it was read from.
+        content: value.
+
+    Returns:
+        The record.
+
+    Raises:
+        RecordUnreadable: the value is damaged.
+    """
+    record = _decode(ConfigurationRecord(), key, content)
+    if record.revision < 1:
+        raise RecordUnreadable(key)
+    return record
+
+
+def decode_audit(key: str, content: bytes) -> AuditRecord:
+    """Reads an audit record.
+
+    Args:
+        key: key that it was read from.
+        content: value.
+
+    Returns:
+        The record.
+
+    Raises:
+        RecordUnreadable: the value is damaged.
+    """
+    record = _decode(AuditRecord(), key, content)
+    if audit_key(record.revision) != key:
+        raise RecordUnreadable(key)
+    return record
+
+
+def archived_keys(revision: Revision) -> tuple[str, ...]:
+    """Names the keys that a new revision pushes out of the store.
+
+    Args:
+        revision: the new revision.
+
+    Returns:
+        Keys to delete in the same transaction.
+    """
+    old = (
+        (configuration_key, revision - KEPT_CONFIGURATIONS),
+        (audit_key, revision - KEPT_AUDIT_RECORDS),
+    )
+    return tuple(key_of(number) for key_of, number in old if number > 0)
+
+
+def _decode(record: _Record, key: str, content: bytes) -> _Record:
+    try:
+        record.ParseFromString(content)
+    except DecodeError as error:
+        raise RecordUnreadable(key) from error
+    return record
