--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/carrier/_grants.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/carrier/_grants.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator, Callable, Iterable, Mapping
+from collections.abc import AsyncIterator, Callable, Mapping, Sequence
 from contextlib import aclosing, asynccontextmanager
 from dataclasses import dataclass
 from functools import partial
@@ -33,13 +33,13 @@
 
     Attributes:
         candidates: endpoints that may run it now, best first.
-        term: term that the connection is bound to.
+        term_of: gives the term that an endpoint's connection is bound to.
         deadline: loop time in seconds.
     """
 
     request_class: RequestClass
-    candidates: Callable[[], Iterable[EndpointId]]
-    term: Term
+    candidates: Callable[[], Sequence[EndpointId]]
+    term_of: Callable[[EndpointId], Term]
     deadline: float
     in_transaction: bool = False
 
@@ -57,6 +57,25 @@
     stale: bool
 
 
+def not_granted(found: NotRun | Unreached) -> NotRun:
+    """Judges a statement that got no grant.
+
+    Args:
+        found: why there is none.
+
+    Returns:
+        The outcome.
+    """
+    if isinstance(found, NotRun):
+        return found
+    reason = Reason.STALE_TERM if found.stale else Reason.CONNECTION_LOST
+    return NotRun(
+        reason,
+        RECONNECT_MS,
+        f'endpoint {found.endpoint} was not reached',
+    )
+
+
 class Grant:
     """A slot and a connection of one endpoint."""
 
@@ -175,7 +194,7 @@
         if isinstance(endpoint, NotRun):
             return endpoint
         leave = self._leaver(endpoint)
-        connection = await self._lend(endpoint, wanted.term, leave)
+        connection = await self._lend(endpoint, wanted.term_of(endpoint), leave)
         if not isinstance(connection, EndpointConnection):
             return connection
 
--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/carrier/group_carrier.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/carrier/group_carrier.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from functools import partial
 from typing import Final
 
@@ -13,8 +13,15 @@
     Kind,
     RequestClass,
 )
-from cowslipfork.groups.tracker import Tracker
-from cowslipfork.ids import ClassName, EndpointId, KindName, Mark, Term
+from cowslipfork.groups import Tracker
+from cowslipfork.ids import (
+    ORIGIN,
+    ClassName,
+    EndpointId,
+    KindName,
+    Mark,
+    Term,
+)
 from cowslipfork.limits import RetryBudget
 from cowslipfork.outcomes import Done, NotRun, Outcome, Reason, Refused, Unknown
 from cowslipfork.requests import Answer, Operation, Request
@@ -22,14 +29,13 @@
     RECONNECT_MS,
     Grant,
     Grants,
-    Unreached,
     Wanted,
+    not_granted,
 )
 from cowslipfork_proxy.carrier._jobs import JobTable, run_job
-from cowslipfork_proxy.carrier._reads import eligible, is_fresh, need_of
+from cowslipfork_proxy.carrier._reads import Read, run_read
 from cowslipfork_proxy.carrier._transactions import Transactions
-from cowslipfork_proxy.carrier._writes import refusal, remaining, run_write
-from cowslipfork_proxy.endpoints import ConnectionBroken, EndpointRefused
+from cowslipfork_proxy.carrier._writes import remaining, run_write
 
 #: Kind of requests that name none: fresh reads, no jobs.
 SAFEST_KIND: Final = Kind(
@@ -103,48 +109,34 @@
         """
         if request.transaction is not None:
             return await self._in_transaction(request)
+        kind = self._kind(request)
         if request.operation is Operation.READ:
-            return await self._again(request, self._read)
-        return await self._again(request, self._write)
+            return await self._read(request, kind)
+        return await self._again(request, partial(self._write, request, kind))
 
     async def _again(
         self,
         request: Request,
-        attempt: Callable[[Request, Kind], object],
+        attempt: Callable[[], Awaitable[Outcome[Answer]]],
     ) -> Outcome[Answer]:
         """Repeats an attempt that was not run, within the retry budget."""
-        kind = self._kind(request)
         self._retries.first_try()
-        outcome = await attempt(request, kind)  # type: ignore[misc]
+        outcome = await attempt()
         while _passing(outcome) and remaining(request):
             if not self._retries.may_retry():
                 break
-            outcome = await attempt(request, kind)  # type: ignore[misc]
+            outcome = await attempt()
         return outcome
 
     async def _read(self, request: Request, kind: Kind) -> Outcome[Answer]:
-        term = self._tracker.record.term
-        mark = self._session_mark(request)
-        if is_fresh(kind.reads, mark):
-            found = await self._tracker.check(term, request.deadline)
-            if found.is_error():
-                return NotRun(
-                    Reason.NO_FRESH_ENDPOINT,
-                    RECONNECT_MS,
-                    found.error.value,
-                )
-            mark = found.ok
-        need = need_of(kind.reads, mark, primary=kind.primary_reads)
-        wanted = Wanted(
+        read = Read(
+            request,
+            kind,
             self._class(kind),
-            partial(eligible, self._tracker, self._grants.queue, need),
-            term,
-            request.deadline,
+            self._session_mark(request),
         )
-        grant = await self._grants.grant(wanted)
-        if not isinstance(grant, Grant):
-            return _ungranted(grant)
-        return await _stream(request, grant)
+        attempt = partial(run_read, read, self._tracker, self._grants)
+        return await self._again(request, attempt)
 
     async def _write(self, request: Request, kind: Kind) -> Outcome[Answer]:
         refused = _write_refusal(request, kind)
@@ -170,7 +162,7 @@
             return _no_primary()
         grant = await self._grants.pinned(record.primary, record.term)
         if not isinstance(grant, Grant):
-            return _ungranted(grant)
+            return not_granted(grant)
         return await self._transactions.begin(request, grant)
 
     async def _primary(self, request: Request, kind: Kind) -> Grant | NotRun:
@@ -178,7 +170,7 @@
             return _no_primary()
         wanted = self._wanted_primary(request, kind, in_transaction=False)
         grant = await self._grants.grant(wanted)
-        return grant if isinstance(grant, Grant) else _ungranted(grant)
+        return grant if isinstance(grant, Grant) else not_granted(grant)
 
     def _wanted_primary(
         self,
@@ -195,7 +187,7 @@
         return Wanted(
             self._class(kind),
             primary,
-            record.term,
+            lambda endpoint: record.term,
             request.deadline,
             in_transaction,
         )
@@ -205,9 +197,10 @@
         return found.ok if found.is_ok() else None
 
     def _session_mark(self, request: Request) -> Mark | None:
+        """Gives what the session wrote here; None makes its reads fresh."""
         if request.marks is None:
             return None
-        return request.marks.get(self._group.name, Mark(Term(0), 0))  # type: ignore[arg-type]
+        return request.marks.get(self._group.name, ORIGIN)
 
     def _kind(self, request: Request) -> Kind:
         if request.kind is None:
@@ -219,22 +212,6 @@
         return classes.get(kind.class_name, _DEFAULT_CLASS)
 
 
-async def _stream(request: Request, grant: Grant) -> Outcome[Answer]:
-    """Runs a read; the grant ends with its rows."""
-    streaming = False
-    try:
-        answer = await grant.connection.stream(request.sql, remaining(request))
-        streaming = True
-    except EndpointRefused as refused:
-        return refusal(refused)
-    except ConnectionBroken as broken:
-        return NotRun(Reason.CONNECTION_LOST, RECONNECT_MS, broken.cause)
-    finally:
-        if not streaming:
-            grant.release()
-    return Done(grant.until_read(answer))
-
-
 def _write_refusal(request: Request, kind: Kind) -> NotRun | None:
     if kind.job and request.request_id is None:
         return NotRun(
@@ -244,17 +221,6 @@
     return None
 
 
-def _ungranted(grant: NotRun | Unreached) -> NotRun:
-    if isinstance(grant, NotRun):
-        return grant
-    reason = Reason.STALE_TERM if grant.stale else Reason.CONNECTION_LOST
-    return NotRun(
-        reason,
-        RECONNECT_MS,
-        f'endpoint {grant.endpoint} was not reached',
-    )
-
-
 def _no_primary() -> NotRun:
     return NotRun(Reason.NO_PRIMARY, RECONNECT_MS, 'a primary is being chosen')
 
--- /dev/null
+++ b/packages/cowslipfork/tests/limits/test_queue.py
@@ -0,0 +1,201 @@
+import asyncio
+from collections import Counter
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cowslipfork.configuration import RequestClass
+from cowslipfork.ids import ClassName, EndpointId
+from cowslipfork.limits import Place, Shed, SlotQueue
+
+A = EndpointId('a')
+B = EndpointId('b')
+LONG = 1000.0
+
+
+def request_class(name, weight=1, queue=100):
+    return RequestClass(ClassName(name), weight, queue, deadline=5)
+
+
+def place(asked, *endpoints, in_transaction=False, deadline=LONG):
+    # Deadlines are loop times; the loop's clock starts anywhere.
+    return Place(
+        asked,
+        lambda: endpoints,
+        asyncio.get_running_loop().time() + deadline,
+        in_transaction,
+    )
+
+
+async def entered(queue, *places):
+    tasks = [asyncio.ensure_future(queue.enter(asked)) for asked in places]
+    await asyncio.sleep(0)
+    return tasks
+
+
+async def test_never_more_than_the_slots():
+    queue = SlotQueue({A: 2})
+    lookup = request_class('lookup')
+    tasks = await entered(queue, *[place(lookup, A) for _ in range(3)])
+
+    assert [task.done() for task in tasks] == [True, True, False]
+
+    queue.leave(A, 0.001)
+    assert await tasks[2] == A
+
+
+async def test_free_endpoint_goes_to_the_one_who_can_use_it():
+    queue = SlotQueue({A: 1, B: 1})
+    lookup = request_class('lookup')
+    await queue.enter(place(lookup, A))
+    (blocked,) = await entered(queue, place(lookup, A))
+
+    assert await queue.enter(place(lookup, A, B)) == B
+    assert not blocked.done()
+    blocked.cancel()
+
+
+async def test_classes_share_by_weight():
+    queue = SlotQueue({A: 1})
+    heavy, light = request_class('heavy', 3), request_class('light', 1)
+    await queue.enter(place(light, A))
+    waiting = {}
+    for _ in range(40):
+        for asked in (heavy, light):
+            (task,) = await entered(queue, place(asked, A))
+            waiting[task] = asked.name
+    served = Counter()
+    for _ in range(40):
+        queue.leave(A, 0.001)
+        await asyncio.sleep(0)
+        done = [task for task in waiting if task.done()]
+        served.update(waiting.pop(task) for task in done)
+
+    assert served == {'heavy': 30, 'light': 10}
+    for task in waiting:
+        task.cancel()
+
+
+async def test_full_class_is_shed_at_once_and_others_are_not():
+    queue = SlotQueue({A: 1})
+    lookup = request_class('lookup', queue=1)
+    confirmation = request_class('confirmation', weight=100)
+    await queue.enter(place(lookup, A))
+    first, second, urgent = await entered(
+        queue,
+        place(lookup, A),
+        place(lookup, A),
+        place(confirmation, A),
+    )
+
+    shed = second.result()
+    assert isinstance(shed, Shed)
+    assert not shed.late
+    assert shed.retry_after_ms >= 1
+
+    queue.leave(A, 0.001)
+    assert await urgent == A
+    assert not first.done()
+    first.cancel()
+
+
+async def test_statements_of_a_transaction_go_first():
+    queue = SlotQueue({A: 1})
+    confirmation = request_class('confirmation', weight=100)
+    await queue.enter(place(confirmation, A))
+    waiting, urgent = await entered(
+        queue,
+        place(confirmation, A),
+        place(confirmation, A, in_transaction=True),
+    )
+
+    queue.leave(A, 0.001)
+
+    assert await urgent == A
+    assert not waiting.done()
+    waiting.cancel()
+
+
+async def test_deadline_answers_late():
+    queue = SlotQueue({A: 1})
+    lookup = request_class('lookup')
+    await queue.enter(place(lookup, A))
+
+    shed = await queue.enter(place(lookup, A, deadline=0))
+
+    assert isinstance(shed, Shed)
+    assert shed.late
+    assert queue.waiting == 0
+
+
+@pytest.mark.parametrize('granted_first', [True, False])
+async def test_cancelled_waiter_leaves_nothing_behind(granted_first):
+    queue = SlotQueue({A: 1})
+    lookup = request_class('lookup')
+    await queue.enter(place(lookup, A))
+    (task,) = await entered(queue, place(lookup, A))
+    if granted_first:
+        queue.leave(A, 0.001)
+        task.cancel()
+    else:
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        queue.leave(A, 0.001)
+    await asyncio.gather(task, return_exceptions=True)
+
+    assert queue.free == {A: 1}
+    assert queue.waiting == 0
+
+
+@settings(derandomize=True, max_examples=60)
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(['enter', 'transaction', 'leave', 'cancel']),
+            st.integers(0, 3),
+        ),
+        max_size=60,
+    ),
+)
+def test_slots_are_neither_lost_nor_made(actions):
+    asyncio.run(_random_run(actions))
+
+
+async def _random_run(actions):
+    slots = {A: 2, B: 1}
+    queue = SlotQueue(slots)
+    classes = [request_class(str(index), index + 1, 5) for index in range(4)]
+    tasks = []
+    held = []
+    for action, number in actions:
+        if action in {'enter', 'transaction'}:
+            tasks += await entered(
+                queue,
+                place(
+                    classes[number],
+                    *([A, B], [B], [A], [B, A])[number],
+                    in_transaction=action == 'transaction',
+                ),
+            )
+        elif action == 'leave' and held:
+            queue.leave(held.pop(number % len(held)), 0.001)
+        elif action == 'cancel' and tasks:
+            task = tasks.pop(number % len(tasks))
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+        await asyncio.sleep(0)
+        done = [task for task in tasks if task.done()]
+        tasks = [task for task in tasks if not task.done()]
+        held += [
+            task.result()
+            for task in done
+            if not isinstance(task.result(), Shed)
+        ]
+        in_use = Counter(held)
+        assert {
+            name: in_use[name] + queue.free[name] for name in slots
+        } == slots
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
--- /dev/null
+++ b/packages/cowslipfork/tests/limits/test_teams.py
@@ -0,0 +1,15 @@
+from cowslipfork.ids import TeamName
+from cowslipfork.limits import TeamLimits
+
+
+def test_a_flooding_team_does_not_take_the_room_of_others():
+    limits = TeamLimits()
+    flood, quiet = TeamName('flood'), TeamName('quiet')
+
+    with limits.admitted(flood, 1) as first:
+        with limits.admitted(flood, 1) as second:
+            with limits.admitted(quiet, 1) as other:
+                assert (first, second, other) == (True, False, True)
+        assert limits.in_flight(flood) == 1
+
+    assert limits.in_flight(flood) == 0
