--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/polling.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/polling.py
@@ -58,8 +58,14 @@
         record.overlays.get(site, ''),
         site,
     )
-    if parsed.is_ok():
-        holdings.put_in_force(Revision(record.revision), parsed.ok)
+    if parsed.is_error():
+        log.error(
+            'configuration unreadable',
+            extra={'revision': record.revision, 'cause': parsed.error},
+        )
+        return
+    if holdings.put_in_force(Revision(record.revision), parsed.ok):
+        log.info('configuration in force', extra={'revision': record.revision})
 
 
 def _neighbour(entry: records_pb2.PlatformEntry) -> Neighbour:
