--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/node.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/node.py
@@ -14,11 +14,13 @@
 from cowslipfork.configuration import Configuration, NodeSettings, Site
 from cowslipfork.groups import Violation, first_record
 from cowslipfork.ids import GroupName, RegionName, VmId
+from cowslipfork.limits import TeamLimits
 from cowslipfork.membership import carrier_of
 from cowslipfork.requests import Run
 from cowslipfork.store import Store
 from cowslipfork.store.etcd import EtcdStore
 from cowslipfork.wire import node_pb2_grpc
+from cowslipfork_proxy.admission import admitting
 from cowslipfork_proxy.callers import CallerSettings, serve_callers
 from cowslipfork_proxy.carrier import Carried, Carriers, assemble
 from cowslipfork_proxy.endpoints import Login
@@ -85,8 +87,8 @@
             stack.callback(poller.cancel)
             callers = await serve_callers(
                 CallerSettings(settings.host, settings.caller_port),
-                self._router.run,
-                lambda: self._holdings.configuration,
+                admitting(self._router.run, TeamLimits(), self._configuration),
+                self._configuration,
             )
             stack.push_async_callback(callers.close)
             stack.callback(self._carriers.close)
@@ -96,6 +98,9 @@
             await callers.drain()
         log.info('node stopped')
 
+    def _configuration(self) -> Configuration:
+        return self._holdings.configuration
+
     def _revision(self) -> float:
         return self._holdings.revision
 
@@ -134,7 +139,7 @@
         carrier = assemble(
             group,
             self._holdings.records.get(name) or first_record(group),
-            lambda: self._holdings.configuration,
+            self._configuration,
             Login(),
             asyncio.get_running_loop().time,
             partial(self._count_violation, name),
--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/routing.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/routing.py
@@ -112,7 +112,10 @@
                 self._transactions[transaction] = vm
         held_by = self._transactions.get(transaction)
         if held_by is None:
-            return NotRun(Reason.NO_CARRIER, _RETRY_AFTER_MS)
+            return NotRun(
+                Reason.TRANSACTION_LOST,
+                detail='no such transaction is open',
+            )
         outcome = await self._run_at(held_by)(request)
         ending = request.operation in {Operation.COMMIT, Operation.ROLLBACK}
         failed_begin = request.operation is Operation.BEGIN and not isinstance(
