--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/forwarding/servicer.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/forwarding/servicer.py
@@ -5,16 +5,20 @@
 import asyncio
 from collections.abc import AsyncIterator
 from contextlib import aclosing, suppress
-from typing import Any
+from dataclasses import replace
+from typing import Any, Final
 
 from cowslipfork.errors import CowslipforkError
+from cowslipfork.ids import TransactionId
 from cowslipfork.outcomes import Done, Outcome
-from cowslipfork.requests import Answer, Run
+from cowslipfork.requests import Answer, Operation, Request, Run
 from cowslipfork.requests.answer import Rows
 from cowslipfork.wire import node_pb2, node_pb2_grpc
 from cowslipfork_proxy.forwarding._codec import batch_of, head_of, request_of
 from cowslipfork_proxy.forwarding.link import ROW_CREDITS
 
+_ENDING: Final = frozenset((Operation.COMMIT, Operation.ROLLBACK))
+
 
 class CarrierService(node_pb2_grpc.CarrierServicer):
     """Serves statements that entry nodes forward."""
@@ -48,7 +52,7 @@
                 yield batch
         finally:
             reader.cancel()
-            exchange.close()
+            await exchange.close()
 
 
 class _Exchange:
@@ -58,6 +62,7 @@
         self._run = run
         self._tasks: dict[int, asyncio.Task[None]] = {}
         self._credits: dict[int, asyncio.Semaphore] = {}
+        self._transactions: dict[TransactionId, Request] = {}
         self._outbox = node_pb2.AnswerBatch()
         self._wake = asyncio.Event()
         self._ended = False
@@ -84,10 +89,15 @@
             if outbox.frames:
                 yield outbox
 
-    def close(self) -> None:
-        """Cancels what still runs; its connections are closed."""
+    async def close(self) -> None:
+        """Ends what the entry left: its statements and its transactions."""
         for task in self._tasks.values():
             task.cancel()
+        await asyncio.gather(*self._tasks.values(), return_exceptions=True)
+        for begun in self._transactions.values():
+            await self._run(
+                replace(begun, operation=Operation.ROLLBACK, sql='ROLLBACK'),
+            )
 
     def _take(self, batch: node_pb2.StatementBatch) -> None:
         for statement in batch.statements:
@@ -107,13 +117,24 @@
     async def _serve(self, statement: node_pb2.Statement) -> None:
         number = statement.number
         now = asyncio.get_running_loop().time()
+        request = request_of(statement, now)
+        self._follow(request)
         try:
-            outcome = await self._run(request_of(statement, now))
+            outcome = await self._run(request)
             await self._answer(number, outcome)
         finally:
             del self._tasks[number]
             del self._credits[number]
 
+    def _follow(self, request: Request) -> None:
+        """Remembers which transactions the entry has open."""
+        if request.transaction is None:
+            return
+        if request.operation is Operation.BEGIN:
+            self._transactions[request.transaction] = request
+        elif request.operation in _ENDING:
+            self._transactions.pop(request.transaction, None)
+
     async def _answer(self, number: int, outcome: Outcome[Answer]) -> None:
         frame = head_of(outcome, number)
         if not (isinstance(outcome, Done) and outcome.answer.columns):
--- a/packages/cowslipfork-proxy/tests/forwarding/test_link.py
+++ b/packages/cowslipfork-proxy/tests/forwarding/test_link.py
@@ -219,3 +219,28 @@
         outcomes = await asyncio.gather(*tasks)
 
     assert [item.answer.affected_rows for item in outcomes] == list(range(20))
+
+
+async def test_an_entry_that_dies_leaves_no_transaction_behind():
+    seen = []
+    rolled_back = asyncio.Event()
+
+    async def run(asked):
+        seen.append((asked.transaction, asked.operation))
+        if asked.operation is Operation.ROLLBACK:
+            rolled_back.set()
+        return Done(Answer())
+
+    async with linked(run) as (link, _):
+        for name, operation in (
+            ('open', Operation.BEGIN),
+            ('ended', Operation.BEGIN),
+            ('ended', Operation.COMMIT),
+        ):
+            asked = request(operation, transaction=TransactionId(name))
+            await link.run(asked)
+        await link.close()
+        await asyncio.wait_for(rolled_back.wait(), SECONDS)
+
+    assert seen[-1] == ('open', Operation.ROLLBACK)
+    assert ('ended', Operation.ROLLBACK) not in seen
