Callers: figures, types, prepared statements, classification, tokens, drain

Cause: the thin path knew one driver and text statements only.

What stands, with a test by three drivers (PyMySQL, asyncmy, mysql-connector-python pure): every common column type in the text and the binary protocol, parameters of every type, query attributes, affected rows, last insert id, error numbers and SQLSTATEs, 100,000 rows in batches.

Ruled out, with the library at hand: - its parameter reader: knows no dates or decimals, demands types on each execution, and writes strings without escaping quotes (SQL injection); read here with its primitives instead; - its binary encoders: TINYINT 5 becomes 1, unsigned and negative times are lost; cells are encoded from the endpoint's text instead; - its EOF after COM_STMT_PREPARE for drivers with CLIENT_DEPRECATE_EOF; - its session (a sqlglot parse per statement).

Classification: literals are removed by one regular expression, the shape is looked up in a bounded cache; sqlglot sees a shape at most once and only to prove that a query reads. Not proved is a write; what needs one server connection (temporary tables, user variables, GET_LOCK) is refused. Group statements (FENCE, PROMOTE, SHOW GROUP STATUS) are refused for callers.

A session given by id only sends no marks even after a write here: it may have written on another connection too, and fresh is then the safe rule.

Not run: the C client of mysql-connector (its extension doesn't load here).

--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/callers/connection.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/callers/connection.py
@@ -2,36 +2,50 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
-from collections.abc import Mapping
-from itertools import repeat
+from types import MappingProxyType
 from typing import Any
 
-from mysql_mimic import packets as library_packets
 from mysql_mimic.charset import CharacterSet
 from mysql_mimic.connection import Connection
-from mysql_mimic.errors import MysqlError
-from mysql_mimic.results import ResultColumn
 from mysql_mimic.stream import ConnectionClosed
-from mysql_mimic.types import ColumnType, Commands, ServerStatus
+from mysql_mimic.types import Commands, ServerStatus
 
-from cowslipfork.outcomes import Done
-from cowslipfork.requests import Answer
-from cowslipfork.requests.statement import classify
+from cowslipfork.errors import CowslipforkError
+from cowslipfork.outcomes import NotRun, Reason
+from cowslipfork_proxy.callers.commands import COMMANDS, MALFORMED, unknown
 from cowslipfork_proxy.callers.failures import (
     CallerFailure,
     Fault,
     fault,
     outcome_failure,
 )
-from cowslipfork_proxy.callers.packets import make_column, make_error
+from cowslipfork_proxy.callers.packets import make_error
+from cowslipfork_proxy.callers.prepared import PreparedStatements
 from cowslipfork_proxy.callers.session import CallerSession
 from cowslipfork_proxy.callers.stream import CallerStream
 
 _log = logging.getLogger(__name__)
 
-#: Cells are text already, whatever the column's type.
-_TEXT_CELL = ResultColumn('', ColumnType.VARCHAR)
+#: Seconds in which a dismissed caller may read why.
+LINGER = 1.0
+
+#: When a caller of a draining node may come back, to any other node.
+_DRAINING_RETRY_MS = 1
+
+_QUIT = bytes((Commands.COM_QUIT,))
+
+_STATUS = MappingProxyType(
+    {
+        (inside, autocommit): ServerStatus(
+            ServerStatus.SERVER_STATUS_IN_TRANS * inside
+            + ServerStatus.SERVER_STATUS_AUTOCOMMIT * autocommit,
+        )
+        for inside in (False, True)
+        for autocommit in (False, True)
+    },
+)
 
 
 class CallerConnection(Connection):
@@ -40,27 +54,52 @@
     session: CallerSession
     stream: CallerStream
 
+    def __init__(self, **options: Any) -> None:
+        """Prepares to serve.
+
+        Args:
+            options: of the library's connection.
+        """
+        super().__init__(**options)
+        self.prepared = PreparedStatements()
+        self.results_charset = CharacterSet.utf8mb4
+        self._statement_charset = CharacterSet.utf8mb4
+        self._serving: asyncio.Task[None] | None = None
+        self._lingering: asyncio.TimerHandle | None = None
+        self._logging_in = True
+        self._idle = False
+        self._draining = False
+        self._dismissed = False
+
     @property
     def client_charset(self) -> CharacterSet:
         """Character set of the caller's statements."""
-        return CharacterSet.utf8mb4
+        return self._statement_charset
 
     @property
     def server_charset(self) -> CharacterSet:
-        """Character set of answers."""
+        """Character set of the node's own texts."""
         return CharacterSet.utf8mb4
 
     async def serve(self) -> None:
         """Logs the caller in and serves its statements until it goes."""
+        self._serving = asyncio.current_task()
         try:
-            await self.connection_phase()
+            await self._login()
+            self.stream.when_gone(self._caller_gone)
             await self.command_phase()
         except ConnectionClosed:
-            _log.debug('event=caller_gone')
+            _log.debug('event=caller_gone caller=%s', self.connection_id)
         except CallerFailure as failure:
             await self.stream.write(make_error(failure))
         finally:
-            await self.session.close()
+            await self._leave()
+
+    def leave_when_idle(self) -> None:
+        """Ends the connection at its next statement boundary."""
+        self._draining = True
+        if self._idle and not self.session.in_transaction:
+            self._dismiss()
 
     async def authenticate(self, *args: Any, **options: Any) -> None:
         """Logs in, or ends the connection.
@@ -75,81 +114,84 @@
 
     async def command_phase(self) -> None:
         """Serves one command after the other."""
-        commands = {
-            Commands.COM_QUERY: self.handle_query,
-            Commands.COM_INIT_DB: self.handle_init_db,
-            Commands.COM_PING: self.handle_ping,
-        }
         while True:
-            self.stream.reset_seq()
-            packet = await self.stream.read()
-            if packet[0] == Commands.COM_QUIT:
+            packet = await self._next_command()
+            if self._dismissed or packet[:1] == _QUIT:
                 return
-            handler = commands.get(packet[0])
-            try:
-                if handler is None:
-                    raise fault(
-                        Fault.UNKNOWN_COMMAND,
-                        f'unknown command {packet[0]}',
-                    )
-                await handler(packet[1:])
-            except CallerFailure as failure:
-                await self.stream.write(make_error(failure))
-            except MysqlError as error:
-                await self.stream.write(self.error(msg=error.msg))
-
-    async def handle_query(self, data: bytes) -> None:
-        """Serves a text statement.
+            await self._serve_command(packet)
+            if self._draining and not self.session.in_transaction:
+                self._dismiss()
+
+    def ok(self, **options: Any) -> bytes:
+        """Builds an OK packet; the one that ends the login checks first.
 
         Args:
-            data: payload of COM_QUERY.
+            options: of the library's packet.
+
+        Returns:
+            Payload of the packet.
         """
-        query = library_packets.parse_com_query(
-            capabilities=self.capabilities,
-            client_charset=self.client_charset,
-            data=data,
-        )
-        await self._statement(query.sql, query.query_attrs)
-
-    async def _statement(
-        self,
-        sql: str,
-        attributes: Mapping[str, str],
-    ) -> None:
-        operation = classify(sql).operation
-        if operation is None:
-            await self.stream.write(self.ok())
-            return
-        outcome = await self.session.serve(sql, operation, attributes)
-        self._show_status()
-        if not isinstance(outcome, Done):
-            raise outcome_failure(outcome)
-        await self._write_answer(outcome.answer)
-
-    def _show_status(self) -> None:
-        status = ServerStatus.SERVER_STATUS_AUTOCOMMIT
-        if self.session.in_transaction:
-            status |= ServerStatus.SERVER_STATUS_IN_TRANS
-        self.status_flags = status
-
-    async def _write_answer(self, answer: Answer) -> None:
-        if not answer.columns:
-            packet = self.ok(
-                affected_rows=answer.affected_rows,
-                last_insert_id=answer.last_insert_id,
-            )
-            await self.stream.write(packet)
-            return
-        count = library_packets.make_column_count(
-            capabilities=self.capabilities,
-            column_count=len(answer.columns),
+        if self._logging_in and self.session.database:
+            self.session.admission()
+        packet: bytes = super().ok(**options)
+        return packet
+
+    def follow_session(self) -> None:
+        """Takes over the session's state and character sets."""
+        session = self.session
+        self.status_flags = _STATUS[session.in_transaction, session.autocommit]
+        self._statement_charset = session.variables.statement_charset
+        self.results_charset = session.variables.results_charset
+
+    async def _login(self) -> None:
+        try:
+            await self.connection_phase()
+        except MALFORMED as error:
+            text = f'bad handshake: {type(error).__name__}'
+            raise fault(Fault.BAD_HANDSHAKE, text) from error
+        self._logging_in = False
+        self.follow_session()
+
+    async def _leave(self) -> None:
+        self.stream.when_gone(None)
+        if self._lingering is not None:
+            self._lingering.cancel()
+        await self.session.close()
+
+    async def _next_command(self) -> bytes:
+        self.stream.reset_seq()
+        self._idle = True
+        packet = await self.stream.read()
+        self._idle = False
+        return packet
+
+    async def _serve_command(self, packet: bytes) -> None:
+        command = COMMANDS.get(packet[0], unknown) if packet else unknown
+        try:
+            await command(self, packet[1:])
+        except CallerFailure as failure:
+            await self.stream.write(make_error(failure))
+        except CowslipforkError as error:
+            text = f'{type(error).__name__}: {error}'
+            await self.stream.write(make_error(fault(Fault.INTERNAL, text)))
+
+    def _dismiss(self) -> None:
+        """Tells the caller to go elsewhere, and ends the sending side.
+
+        The packet has the number of an answer: a statement that crosses it
+        on its way is not run, and that is what the caller's driver reads.
+        """
+        self._dismissed = True
+        farewell = NotRun(
+            Reason.DRAINING,
+            retry_after_ms=_DRAINING_RETRY_MS,
+            detail='connect again',
         )
-        head = [count, *map(make_column, answer.columns)]
-        if not self.deprecate_eof():
-            head.append(self.eof())
-        self.stream.write_many(head)
-        cells = tuple(repeat(_TEXT_CELL, len(answer.columns)))
-        async for batch in answer.rows:
-            self.stream.write_text_rows(batch, cells)
-            await self.stream.drain()
-        await self.stream.write(self.ok_or_eof())
+        self.stream.write_last(make_error(outcome_failure(farewell)))
+        if self._serving is not None:
+            loop = asyncio.get_running_loop()
+            self._lingering = loop.call_later(LINGER, self._serving.cancel)
+
+    def _caller_gone(self) -> None:
+        if self._serving is not None and self.session.reading:
+            self._serving.cancel()
--- /dev/null
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/callers/literals.py
@@ -0,0 +1,94 @@
+"""SQL literals of parameter values."""
+
+from __future__ import annotations
+
+import math
+import re
+
+from cowslipfork_proxy.callers.failures import Fault, fault
+
+_NUMBER = re.compile(r'[-+]?(?:\d+(?:\.\d*)?|\.\d+)(?:[eE][-+]?\d+)?', re.ASCII)
+
+_ESCAPES = str.maketrans(
+    {
+        '\\': r'\\',
+        "'": r'\'',
+        '\0': r'\0',
+        '\n': r'\n',
+        '\r': r'\r',
+        '\x1a': r'\Z',
+    },
+)
+
+
+def quote(text: str) -> str:
+    """Writes a string literal.
+
+    Args:
+        text: its content.
+
+    Returns:
+        The literal with its quotes.
+    """
+    return f"'{text.translate(_ESCAPES)}'"
+
+
+def text_literal(content: bytes) -> str:
+    """Writes a text; some drivers declare any bytes as text.
+
+    Args:
+        content: in UTF-8, or any bytes.
+
+    Returns:
+        A string literal, or a hexadecimal one.
+    """
+    try:
+        return quote(content.decode('utf8'))
+    except UnicodeDecodeError:
+        return blob_literal(content)
+
+
+def blob_literal(content: bytes) -> str:
+    """Writes bytes.
+
+    Args:
+        content: any bytes.
+
+    Returns:
+        A hexadecimal literal.
+    """
+    return f"x'{content.hex()}'" if content else "''"
+
+
+def decimal_literal(text: str) -> str:
+    """Writes a decimal as it came.
+
+    Args:
+        text: digits.
+
+    Returns:
+        The same.
+
+    Raises:
+        CallerFailure: it is no number.
+    """
+    if not _NUMBER.fullmatch(text):
+        raise fault(Fault.WRONG_ARGUMENTS, 'a decimal parameter is no number')
+    return text
+
+
+def real_literal(number: float) -> str:
+    """Writes a floating-point number.
+
+    Args:
+        number: a finite one.
+
+    Returns:
+        Digits that give the same number.
+
+    Raises:
+        CallerFailure: it is not finite.
+    """
+    if not math.isfinite(number):
+        raise fault(Fault.WRONG_ARGUMENTS, 'a parameter is no finite number')
+    return repr(number)
--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/callers/packets.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/callers/packets.py
@@ -4,6 +4,7 @@
 
 import struct
 from functools import lru_cache
+from itertools import repeat
 
 from mysql_mimic.charset import CharacterSet
 from mysql_mimic.packets import make_column_definition_41
@@ -16,6 +17,8 @@
 ERROR_TEXT_BYTES = 512
 
 _COLUMN_TAIL = struct.Struct('<HIBHBH')
+_PREPARED = struct.Struct('<BIHHBH')
+_PARAMETER = Column('?', ColumnType.VAR_STRING, CharacterSet.utf8mb4)
 _COLUMN_LENGTH = 1024
 _COLUMN_CACHE = 4096
 _ANY_DECIMALS = 31
@@ -64,3 +67,19 @@
         0,
     )
     return generic[: -_COLUMN_TAIL.size] + tail
+
+
+def make_prepared(number: int, parameters: int) -> list[bytes]:
+    """Builds the answer to COM_STMT_PREPARE.
+
+    The library ends it with an EOF packet also for drivers that expect none.
+
+    Args:
+        number: id of the prepared statement.
+        parameters: how many it has.
+
+    Returns:
+        Payloads of the packets, without an EOF packet.
+    """
+    head = _PREPARED.pack(0, number, 0, parameters, 0, 0)
+    return [head, *repeat(make_column(_PARAMETER), parameters)]
--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/callers/server.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/callers/server.py
@@ -8,20 +8,27 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from itertools import count
+from pathlib import Path
+from ssl import PROTOCOL_TLS_SERVER, SSLContext, SSLError
 
 from mysql_mimic.control import LocalControl
 
 from cowslipfork.configuration import Configuration
+from cowslipfork.errors import CowslipforkError
 from cowslipfork.requests import Run
 from cowslipfork_proxy.callers.connection import CallerConnection
+from cowslipfork_proxy.callers.failures import Fault, fault
 from cowslipfork_proxy.callers.identity import Teams
+from cowslipfork_proxy.callers.packets import make_error
 from cowslipfork_proxy.callers.session import CallerSession
-from cowslipfork_proxy.callers.stream import CallerStream
+from cowslipfork_proxy.callers.stream import CallerReader, CallerStream
 
 _log = logging.getLogger(__name__)
 
-_HEADROOM_BYTES = 1024
-_CONNECTION_IDS = 2**32
+#: Room for the command and attributes beside the statement, in bytes.
+_HEADROOM = 4096
+_CONNECTION_IDS = 2**32 - 1
+_BACKLOG = 1024
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,10 +38,18 @@
     Attributes:
         host: IP number to listen on.
         port: TCP port; 0 lets the system choose.
+        certificate: PEM file of the chain; None for no TLS.
+        key: PEM file of the private key.
     """
 
     host: str
     port: int
+    certificate: Path | None = None
+    key: Path | None = None
+
+
+class CertificateUnusable(CowslipforkError):
+    """The certificate or its key can't be read."""
 
 
 class CallerServer:
@@ -52,6 +67,9 @@
             settings: where to listen.
             run: serves requests.
             configuration: gives the configuration in force.
+
+        Raises:
+            CertificateUnusable: the certificate can't be read.
         """
         self._settings = settings
         self._run = run
@@ -59,37 +77,71 @@
         self._identity = Teams(configuration)
         self._control = LocalControl()
         self._numbers = count(1)
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._connections: dict[CallerConnection, asyncio.Task[None]] = {}
         self._server: asyncio.Server | None = None
+        self._tls = _context(settings)
 
     @property
     def port(self) -> int:
         """Port that callers connect to."""
-        if self._server is None:
+        if self._server is None or not self._server.sockets:
             return self._settings.port
         port: int = self._server.sockets[0].getsockname()[1]
         return port
 
+    @property
+    def callers(self) -> int:
+        """Callers that are connected."""
+        return len(self._connections)
+
+    def reload_certificate(self) -> None:
+        """Reads the certificate again; later callers get the new one.
+
+        Raises:
+            CertificateUnusable: it can't be read; the old one stays.
+        """
+        self._tls = _context(self._settings)
+
     async def start(self) -> None:
         """Starts to accept callers."""
-        self._server = await asyncio.start_server(
-            self._accepted,
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: asyncio.StreamReaderProtocol(
+                CallerReader(),
+                self._accepted,
+            ),
             self._settings.host,
             self._settings.port,
+            backlog=_BACKLOG,
         )
 
     async def drain(self) -> None:
-        """Stops accepting and lets callers finish."""
-        if self._server:
-            self._server.close()
+        """Stops accepting and lets callers finish.
+
+        Requests in flight are finished whole and transactions may end; the
+        rest is cut after the limit that the configuration sets.
+        """
+        self._stop_accepting()
+        for connection in tuple(self._connections):
+            connection.leave_when_idle()
+        tasks = tuple(self._connections.values())
+        if tasks:
+            limit = self._configuration().limits.drain
+            _, cut = await asyncio.wait(tasks, timeout=limit)
+            _log.info('event=callers_drained cut=%d', len(cut))
+        await self.close()
 
     async def close(self) -> None:
-        """Stops accepting and ends all connections."""
-        if self._server:
-            self._server.close()
-        for task in self._tasks:
+        """Stops accepting and ends all connections at once."""
+        self._stop_accepting()
+        tasks = tuple(self._connections.values())
+        for task in tasks:
             task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _stop_accepting(self) -> None:
+        if self._server is not None:
+            self._server.close()
 
     async def _accepted(
         self,
@@ -97,30 +149,65 @@
         writer: asyncio.StreamWriter,
     ) -> None:
         task = asyncio.current_task()
-        if task is None:
+        if task is None or not isinstance(reader, CallerReader):
             return
-        self._tasks.add(task)
+        connection = self._connection(reader, writer)
+        with contextlib.closing(writer):
+            if self.callers >= self._configuration().limits.callers:
+                failure = fault(
+                    Fault.TOO_MANY_CONNECTIONS,
+                    'Too many connections',
+                )
+                connection.stream.write_last(make_error(failure))
+                return
+            self._connections[connection] = task
+            try:
+                await self._serve(connection)
+            finally:
+                self._connections.pop(connection)
+
+    async def _serve(self, connection: CallerConnection) -> None:
         try:
-            await self._serve(reader, writer)
-        finally:
-            self._tasks.discard(task)
-            writer.close()
-
-    async def _serve(
+            await connection.serve()
+        except (ConnectionError, asyncio.CancelledError):
+            _log.debug(
+                'event=caller_closed caller=%s', connection.connection_id
+            )
+        except Exception:
+            _log.exception(
+                'event=caller_failed caller=%s',
+                connection.connection_id,
+            )
+
+    def _connection(
         self,
-        reader: asyncio.StreamReader,
+        reader: CallerReader,
         writer: asyncio.StreamWriter,
-    ) -> None:
-        limit = self._configuration().limits.statement_bytes + _HEADROOM_BYTES
+    ) -> CallerConnection:
+        limit = self._configuration().limits.statement_bytes + _HEADROOM
+        session = CallerSession(self._run, self._configuration)
         connection = CallerConnection(
             stream=CallerStream(reader, writer, limit),
-            session=CallerSession(self._run, self._configuration),
+            session=session,
             control=self._control,
             identity_provider=self._identity,
+            ssl=self._tls,
         )
-        connection.connection_id = next(self._numbers) % _CONNECTION_IDS
-        with contextlib.suppress(ConnectionError, asyncio.CancelledError):
-            await connection.serve()
+        number = next(self._numbers) % _CONNECTION_IDS
+        connection.connection_id = number
+        session.connection_id = number
+        return connection
+
+
+def _context(settings: CallerSettings) -> SSLContext | None:
+    if settings.certificate is None:
+        return None
+    context = SSLContext(PROTOCOL_TLS_SERVER)
+    try:
+        context.load_cert_chain(settings.certificate, settings.key)
+    except (OSError, SSLError) as error:
+        raise CertificateUnusable(str(error)) from error
+    return context
 
 
 async def serve_callers(
--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/callers/session.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/callers/session.py
@@ -3,46 +3,44 @@
 from __future__ import annotations
 
 import asyncio
-import uuid
 from collections.abc import Callable, Mapping
 
 from mysql_mimic.session import BaseSession
-from mysql_mimic.variables import (
-    SYSTEM_VARIABLES,
-    GlobalVariables,
-    SessionVariables,
-)
 
 from cowslipfork.configuration import Configuration
-from cowslipfork.ids import (
-    GroupName,
-    KindName,
-    Mark,
-    RequestId,
-    SessionId,
-    TeamName,
-    TransactionId,
+from cowslipfork.ids import GroupName, Mark, TeamName
+from cowslipfork.outcomes import Done, NotRun, Outcome, Reason
+from cowslipfork.requests import (
+    NO_ATTRIBUTES,
+    Answer,
+    Attributes,
+    Operation,
+    Request,
+    Run,
+    Statement,
+    check_attributes,
+)
+from cowslipfork.sessions import encode_token
+from cowslipfork_proxy.callers.admission import Admission, admit
+from cowslipfork_proxy.callers.failures import (
+    Fault,
+    fault,
+    outcome_failure,
 )
-from cowslipfork.outcomes import Done, Outcome
-from cowslipfork.requests import Answer, Operation, Request, Run
-from cowslipfork_proxy.callers.failures import Fault, fault
-
-_DEFAULT_DEADLINE_SECONDS = 10.0
-_MS_PER_SECOND = 1000
-
-_GLOBALS = GlobalVariables(
-    {
-        **SYSTEM_VARIABLES,
-        'version': (str, '8.0.29-cowslipfork', False),
-        'version_comment': (str, 'cowslipfork', False),
-        'sql_mode': (str, 'STRICT_TRANS_TABLES', True),
-    },
+from cowslipfork_proxy.callers.transaction import (
+    CallerTransaction,
+    TransactionState,
 )
+from cowslipfork_proxy.callers.variables import CallerVariables
+
+_ENDS = frozenset((Operation.COMMIT, Operation.ROLLBACK))
 
 
 class CallerSession(BaseSession):
     """Builds a caller's requests and keeps its transaction and marks."""
 
+    variables: CallerVariables
+
     def __init__(
         self,
         run: Run,
@@ -54,90 +52,318 @@
             run: serves requests.
             configuration: gives the configuration in force.
         """
-        self.variables = SessionVariables(_GLOBALS)
+        self.variables = CallerVariables()
         self.username: str | None = None
         self.database: str | None = None
+        self.last_insert_id = 0
+        self.connection_id = 0
+        self.reading = False
         self._run = run
         self._configuration = configuration
-        self._transaction: TransactionId | None = None
+        self._transaction = CallerTransaction()
         self._marks: dict[GroupName, Mark] = {}
+        self._admission: Admission | None = None
+        self._preset = NO_ATTRIBUTES
 
     @property
     def in_transaction(self) -> bool:
-        """Whether statements belong to an open transaction."""
-        return self._transaction is not None
+        """Whether a transaction was begun and not ended."""
+        return self._transaction.state is not TransactionState.NONE
+
+    @property
+    def autocommit(self) -> bool:
+        """Whether each statement outside a transaction stands alone."""
+        return bool(self.variables.get('autocommit'))
+
+    def admission(self) -> Admission:
+        """Checks the team's right to the database against the configuration.
+
+        Returns:
+            The right, checked again only after a change.
 
-    async def serve(
+        Raises:
+            CallerFailure: there is none.
+        """
+        known = self._admission
+        if known is not None and self.in_transaction:
+            return known
+        configuration = self._configuration()
+        if (
+            known is None
+            or known.configuration is not configuration
+            or known.database != self.database
+        ):
+            team = TeamName(self.username or '')
+            known = admit(configuration, team, self.database)
+            self._admission = known
+        return known
+
+    async def use(self, database: str) -> None:
+        """Selects a database.
+
+        Args:
+            database: a group's name or its schema's name.
+
+        Raises:
+            CallerFailure: unknown, denied, or inside a transaction.
+        """
+        if self.in_transaction and database != self.database:
+            raise fault(
+                Fault.NOT_SUPPORTED,
+                'a transaction stays in its database',
+            )
+        before = self.database
+        self.database = database
+        try:
+            self.admission()
+        except Exception:
+            self.database = before
+            raise
+
+    def preset(self) -> None:
+        """Takes over attributes that were set as session variables.
+
+        Raises:
+            CallerFailure: one of them is malformed.
+        """
+        self._preset = _checked(self.variables.attribute_values())
+
+    def token(self) -> str:
+        """Writes what this session has seen acknowledged.
+
+        Returns:
+            The session token.
+
+        Raises:
+            CallerFailure: the session spans too many groups.
+        """
+        marks = _merged(self._preset.marks or {}, self._marks)
+        encoded = encode_token(marks)
+        if encoded.is_error():
+            raise _bad_request(str(encoded.error))
+        token: str = encoded.ok
+        return token
+
+    async def answer(
         self,
         sql: str,
-        operation: Operation,
-        attributes: Mapping[str, str],
+        statement: Statement,
+        raw: Mapping[str, object],
     ) -> Outcome[Answer]:
         """Runs one statement of the caller.
 
         Args:
             sql: the statement.
-            operation: what it does.
-            attributes: query attributes.
+            statement: its class.
+            raw: query attributes.
 
         Returns:
             How it ended.
+
+        Raises:
+            CallerFailure: it can't be asked for like this.
         """
+        operation = statement.operation or Operation.READ
+        attributes = self._attributes(raw)
+        admission = self.admission()
+        admission.check(operation)
         if operation is Operation.BEGIN:
-            self._transaction = TransactionId(uuid.uuid4().hex)
-        outcome = await self._run(self._request(sql, operation, attributes))
-        if operation in {Operation.COMMIT, Operation.ROLLBACK}:
-            self._transaction = None
-        if isinstance(outcome, Done) and outcome.answer.mark:
-            self._remember(outcome.answer.mark)
-        return outcome
+            return await self._begin(sql, attributes)
+        if operation in _ENDS:
+            return await self._end(sql, operation, attributes)
+        self._check_place(statement)
+        if not self.in_transaction and not self.autocommit:
+            begun = await self._begin('BEGIN', attributes)
+            if not isinstance(begun, Done):
+                return begun
+        return await self._inside(sql, operation, attributes)
+
+    async def end_transaction(self, operation: Operation) -> Outcome[Answer]:
+        """Commits or rolls back what is open.
+
+        Args:
+            operation: COMMIT or ROLLBACK.
+
+        Returns:
+            How it ended.
+        """
+        return await self._end(operation.name, operation, NO_ATTRIBUTES)
 
     async def close(self) -> None:
         """Rolls back what the caller left open."""
-        if self._transaction is not None:
-            await self.serve('ROLLBACK', Operation.ROLLBACK, {})
-
-    def _remember(self, mark: Mark) -> None:
-        group = self._group()
-        known = self._marks.get(group)
-        self._marks[group] = max(known, mark) if known else mark
-
-    def _group(self) -> GroupName:
-        if not self.database:
-            raise fault(Fault.NO_DATABASE, 'No database selected')
-        for group in self._configuration().groups.values():
-            if self.database in {group.name, group.database}:
-                return group.name
-        raise fault(
-            Fault.UNKNOWN_DATABASE,
-            f"Unknown database '{self.database}'",
-        )
+        if self.in_transaction:
+            await self.end_transaction(Operation.ROLLBACK)
 
-    def _request(
+    async def reset(self) -> None:
+        """Forgets all but login and database, as COM_RESET_CONNECTION asks."""
+        await self.close()
+        self.variables.forget()
+        self._preset = NO_ATTRIBUTES
+        self._marks.clear()
+        self.last_insert_id = 0
+
+    def _check_place(self, statement: Statement) -> None:
+        if self._transaction.state is TransactionState.FAILED:
+            raise outcome_failure(
+                NotRun(
+                    Reason.TRANSACTION_LOST,
+                    detail='the transaction has failed; send ROLLBACK',
+                ),
+            )
+        inside = self.in_transaction or not self.autocommit
+        if statement.connection_bound and not inside:
+            raise fault(
+                Fault.NOT_SUPPORTED,
+                'this statement needs a transaction: outside one, each'
+                ' statement may run on another server connection',
+            )
+        if statement.implicit_commit and inside:
+            raise fault(
+                Fault.NOT_SUPPORTED,
+                'this statement would commit the transaction; send COMMIT',
+            )
+
+    async def _begin(
+        self,
+        sql: str,
+        attributes: Attributes,
+    ) -> Outcome[Answer]:
+        if self._transaction.state is TransactionState.OPEN:
+            committed = await self._end('COMMIT', Operation.COMMIT, attributes)
+            if not isinstance(committed, Done):
+                return committed
+        elif self.in_transaction:
+            await self._release()
+        self._transaction.begin()
+        outcome = await self._ask(sql, Operation.BEGIN, attributes)
+        if not isinstance(outcome, Done):
+            self._transaction.end()
+        return outcome
+
+    async def _inside(
+        self,
+        sql: str,
+        operation: Operation,
+        attributes: Attributes,
+    ) -> Outcome[Answer]:
+        try:
+            outcome = await self._ask(sql, operation, attributes)
+        except BaseException:
+            self._transaction.fail()
+            raise
+        if self.in_transaction:
+            self._transaction.note(outcome)
+        return outcome
+
+    async def _end(
+        self,
+        sql: str,
+        operation: Operation,
+        attributes: Attributes,
+    ) -> Outcome[Answer]:
+        if not self.in_transaction:
+            return Done(Answer())
+        if self._transaction.state is TransactionState.FAILED:
+            await self._release()
+            if operation is Operation.ROLLBACK:
+                return Done(Answer())
+            return NotRun(
+                Reason.TRANSACTION_LOST,
+                detail='the transaction had failed and was rolled back',
+            )
+        try:
+            outcome = await self._ask(sql, operation, attributes)
+        except BaseException:
+            self._transaction.fail()
+            raise
+        if isinstance(outcome, NotRun):
+            await self._release()
+        self._transaction.end()
+        return outcome
+
+    async def _release(self) -> None:
+        """Tells the carrier to drop what it may still hold."""
+        await self._ask('ROLLBACK', Operation.ROLLBACK, NO_ATTRIBUTES)
+        self._transaction.end()
+
+    def _attributes(self, raw: Mapping[str, object]) -> Attributes:
+        if not raw:
+            return self._preset
+        return _checked({**self.variables.attribute_values(), **raw})
+
+    async def _ask(
         self,
         sql: str,
         operation: Operation,
-        attributes: Mapping[str, str],
-    ) -> Request:
-        kind = attributes.get('kind')
-        session = attributes.get('session')
-        request_id = attributes.get('request_id')
-        return Request(
-            group=self._group(),
-            kind=KindName(kind) if kind else None,
+        attributes: Attributes,
+    ) -> Outcome[Answer]:
+        admission = self.admission()
+        now = asyncio.get_running_loop().time()
+        request = Request(
+            group=admission.group,
+            kind=attributes.kind,
             operation=operation,
             sql=sql,
-            team=TeamName(self.username or ''),
-            deadline=self._deadline(attributes),
-            session=SessionId(session) if session else None,
-            marks=None if session else dict(self._marks),
-            request_id=RequestId(request_id) if request_id else None,
-            transaction=self._transaction,
+            team=admission.team.name,
+            deadline=now + admission.seconds(attributes),
+            session=attributes.session,
+            marks=self._marks_for(attributes),
+            request_id=attributes.request_id,
+            transaction=self._transaction.identity,
         )
+        self.reading = operation is Operation.READ
+        try:
+            outcome = await self._run(request)
+        finally:
+            self.reading = False
+        if isinstance(outcome, Done):
+            self._remember(admission.group, outcome.answer)
+        return outcome
+
+    def _marks_for(
+        self,
+        attributes: Attributes,
+    ) -> dict[GroupName, Mark] | None:
+        """Marks that this session is known to have written.
+
+        A session that gives only its id may have written elsewhere, so what
+        this connection wrote is not all of it.
+        """
+        if attributes.marks is not None:
+            return _merged(attributes.marks, self._marks)
+        return None if attributes.session else dict(self._marks)
+
+    def _remember(self, group: GroupName, answer: Answer) -> None:
+        if answer.last_insert_id:
+            self.last_insert_id = answer.last_insert_id
+        if answer.mark is not None:
+            self._marks[group] = max(
+                answer.mark,
+                self._marks.get(group, answer.mark),
+            )
+
+
+def _merged(
+    left: Mapping[GroupName, Mark],
+    right: Mapping[GroupName, Mark],
+) -> dict[GroupName, Mark]:
+    return {
+        group: max(
+            mark
+            for mark in (left.get(group), right.get(group))
+            if mark is not None
+        )
+        for group in left.keys() | right.keys()
+    }
+
+
+def _checked(raw: Mapping[str, object]) -> Attributes:
+    checked = check_attributes(raw)
+    if checked.is_error():
+        raise _bad_request(str(checked.error))
+    attributes: Attributes = checked.ok
+    return attributes
+
 
-    def _deadline(self, attributes: Mapping[str, str]) -> float:
-        limit = attributes.get('deadline_ms')
-        seconds = _DEFAULT_DEADLINE_SECONDS
-        if limit:
-            seconds = int(limit) / _MS_PER_SECOND
-        return asyncio.get_running_loop().time() + seconds
+def _bad_request(detail: str) -> Exception:
+    return outcome_failure(NotRun(Reason.BAD_REQUEST, detail=detail))
--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/callers/stream.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/callers/stream.py
@@ -3,17 +3,72 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
+from io import BytesIO
+from ssl import SSLContext
+from typing import Any
 
 from mysql_mimic.stream import ConnectionClosed, MysqlStream
 
-from cowslipfork_proxy.callers.failures import Fault, fault
+from cowslipfork_proxy.callers.failures import CallerFailure, Fault, fault
 
 _HEADER_BYTES = 4
 _LENGTH_MASK = 0xFFFFFF
 _SEQUENCE_SHIFT = 24
+_FIRST_ANSWER = 1
 _SKIP_BYTES = 65_536
 
 
+class PacketTooLong(CallerFailure):
+    """A packet over the limit; it was passed over, so reading goes on."""
+
+    def __init__(self, limit: int) -> None:
+        """Tells the limit.
+
+        Args:
+            limit: in bytes.
+        """
+        errno, sqlstate = Fault.STATEMENT_TOO_LONG.value
+        text = f'statement is longer than {limit} bytes; it was not run'
+        super().__init__(errno, sqlstate, text)
+
+
+class CallerReader(asyncio.StreamReader):
+    """A reader that tells at once when the caller goes away."""
+
+    def __init__(self) -> None:
+        """Starts with nobody to tell."""
+        super().__init__()
+        self.gone: Callable[[], None] | None = None
+
+    def feed_eof(self) -> None:
+        """Notes the end and tells it."""
+        super().feed_eof()
+        if self.gone is not None:
+            self.gone()
+
+    def set_exception(self, exc: Exception) -> None:
+        """Notes a broken connection and tells it.
+
+        Args:
+            exc: what broke it.
+        """
+        super().set_exception(exc)
+        if self.gone is not None:
+            self.gone()
+
+    def take_buffered(self) -> bytes:
+        """Takes what has come and nobody has read.
+
+        Returns:
+            The bytes; the buffer is empty afterwards.
+        """
+        buffered: bytearray = self._buffer  # type: ignore[attr-defined]
+        content = bytes(buffered)
+        buffered.clear()
+        return content
+
+
 class CallerStream:
     """The library's stream with a length limit and whole headers.
 
@@ -25,10 +80,10 @@
     __slots__ = (
         '_library',
         '_reader',
+        '_writer',
         'drain',
         'limit',
         'reset_seq',
-        'start_tls',
         'write',
         'write_many',
         'write_text_rows',
@@ -36,7 +91,7 @@
 
     def __init__(
         self,
-        reader: asyncio.StreamReader,
+        reader: CallerReader,
         writer: asyncio.StreamWriter,
         limit: int,
     ) -> None:
@@ -50,13 +105,38 @@
         library = MysqlStream(reader, writer)
         self._library = library
         self._reader = reader
+        self._writer = writer
         self.limit = limit
         self.write = library.write
         self.write_many = library.write_many
         self.write_text_rows = library.write_text_rows
         self.drain = library.drain
         self.reset_seq = library.reset_seq
-        self.start_tls = library.start_tls
+
+    @property
+    def closing(self) -> bool:
+        """Whether the caller went away."""
+        return self._reader.at_eof() or self._writer.is_closing()
+
+    def when_gone(self, tell: Callable[[], None] | None) -> None:
+        """Sets who hears that the caller went away.
+
+        Args:
+            tell: called once; None for nobody.
+        """
+        self._reader.gone = tell
+
+    def write_last(self, packet: bytes) -> None:
+        """Writes an answer to the next command and ends the sending side.
+
+        Args:
+            packet: its payload.
+        """
+        sequence = _FIRST_ANSWER << _SEQUENCE_SHIFT
+        head = (len(packet) | sequence).to_bytes(_HEADER_BYTES, 'little')
+        self._writer.write(head + packet)
+        if self._writer.can_write_eof():
+            self._writer.write_eof()
 
     async def read(self) -> bytes:
         """Reads one packet.
@@ -66,21 +146,55 @@
 
         Raises:
             ConnectionClosed: the caller went away.
-            CallerFailure: too long, or out of sequence.
+            PacketTooLong: it was passed over.
         """
-        payload = b''
-        while True:
-            length = await self._header()
-            if len(payload) + length > self.limit:
-                await self._skip(length)
-                raise fault(
-                    Fault.STATEMENT_TOO_LONG,
-                    f'packet is longer than {self.limit} bytes',
-                )
-            part = await self._exactly(length)
-            payload = payload + part if payload else part
+        length = await self._header()
+        if length < _LENGTH_MASK and length <= self.limit:
+            return await self._exactly(length)
+        return await self._long(length)
+
+    async def start_tls(self, context: SSLContext) -> None:
+        """Goes on under TLS.
+
+        A caller sends its first TLS message right behind its request for
+        TLS, so that it may be in the reader already. The loop's upgrade
+        reads from the socket only; what came early is handed to it once its
+        protocol is connected, two rounds of the loop later.
+
+        Args:
+            context: certificate and key.
+        """
+        early = self._reader.take_buffered()
+        upgrade = asyncio.ensure_future(self._library.start_tls(context))
+        if early:
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+            protocol = self._writer.transport.get_protocol()
+            _feed(protocol, early)
+        await upgrade
+
+    async def _long(self, length: int) -> bytes:
+        parts: list[bytes] = []
+        total = length
+        while total <= self.limit:
+            parts.append(await self._exactly(length))
             if length < _LENGTH_MASK:
-                return payload
+                return b''.join(parts)
+            length = await self._header()
+            total += length
+        await self._skip(length)
+        raise PacketTooLong(self.limit)
+
+    async def _skip(self, length: int) -> None:
+        await self._discard(length)
+        while length == _LENGTH_MASK:
+            length = await self._header()
+            await self._discard(length)
+
+    async def _discard(self, length: int) -> None:
+        while length:
+            part = await self._exactly(min(length, _SKIP_BYTES))
+            length -= len(part)
 
     async def _header(self) -> int:
         head = int.from_bytes(await self._exactly(_HEADER_BYTES), 'little')
@@ -93,18 +207,13 @@
             )
         return head & _LENGTH_MASK
 
-    async def _skip(self, length: int) -> None:
-        left = length
-        while True:
-            while left:
-                left -= len(await self._exactly(min(left, _SKIP_BYTES)))
-            if length < _LENGTH_MASK:
-                return
-            length = await self._header()
-            left = length
-
     async def _exactly(self, length: int) -> bytes:
         try:
             return await self._reader.readexactly(length)
         except (asyncio.IncompleteReadError, ConnectionError) as error:
             raise ConnectionClosed from error
+
+
+def _feed(protocol: Any, content: bytes) -> None:
+    room = protocol.get_buffer(len(content))
+    protocol.buffer_updated(BytesIO(content).readinto(room))
--- a/packages/cowslipfork-proxy/tests/callers/conftest.py
+++ b/packages/cowslipfork-proxy/tests/callers/conftest.py
@@ -1,6 +1,6 @@
 from __future__ import annotations
 
-import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import pytest
@@ -10,6 +10,7 @@
     Configuration,
     Group,
     Kind,
+    Limits,
     RequestClass,
     SessionRule,
     Site,
@@ -29,6 +30,7 @@
 from cowslipfork_proxy.callers import CallerSettings, serve_callers
 
 GROUP = GroupName('observances')
+OTHER = GroupName('orders')
 PASSWORD = 'crescent'
 
 
@@ -40,7 +42,11 @@
 def example(**options) -> Configuration:
     lookups = RequestClass(ClassName('lookups'), 1, 100, 2.0)
     kind = Kind(KindName('festivals'), lookups.name, SessionRule())
-    editors = team('editors')
+    teams = (
+        team('editors'),
+        team('readers', read_only=True),
+        team('printers', groups=(OTHER,)),
+    )
     return Configuration(
         site=Site(
             SiteName('hilal'),
@@ -49,22 +55,39 @@
         ),
         classes={lookups.name: lookups},
         kinds={kind.name: kind},
-        groups={GROUP: Group(GROUP, 'observances', ())},
-        teams={editors.name: editors},
+        groups={
+            GROUP: Group(GROUP, 'observances', ()),
+            OTHER: Group(OTHER, 'orders', ()),
+        },
+        teams={member.name: member for member in teams},
+        limits=Limits(statement_bytes=100_000, callers=4, drain=5),
         **options,
     )
 
 
+def nothing(request: Request) -> Outcome[Answer]:
+    return Done(Answer())
+
+
 @dataclass
 class FakeRun:
-    """Answers requests from a table and remembers them."""
+    """Answers requests by their text and remembers them."""
 
-    answers: dict[str, Outcome[Answer]] = field(default_factory=dict)
+    answers: dict[str, Callable[[Request], Outcome[Answer]]] = field(
+        default_factory=dict,
+    )
     requests: list[Request] = field(default_factory=list)
 
     async def __call__(self, request: Request) -> Outcome[Answer]:
         self.requests.append(request)
-        return self.answers.get(request.sql, Done(Answer()))
+        return self.answers.get(request.sql, nothing)(request)
+
+    def reply(self, sql: str, outcome: Outcome[Answer]) -> None:
+        self.answers[sql] = lambda request: outcome
+
+    @property
+    def statements(self) -> list[str]:
+        return [request.sql for request in self.requests]
 
 
 @pytest.fixture
@@ -73,18 +96,14 @@
 
 
 @pytest.fixture
-def configuration() -> Configuration:
-    return example()
+def configuration() -> list[Configuration]:
+    """The configuration in force; a test may replace the only item."""
+    return [example()]
 
 
 @pytest.fixture
 async def server(run, configuration):
     settings = CallerSettings('127.0.0.1', 0)
-    serving = await serve_callers(settings, run, lambda: configuration)
+    serving = await serve_callers(settings, run, lambda: configuration[0])
     yield serving
     await serving.close()
-
-
-@pytest.fixture
-def in_thread():
-    return asyncio.to_thread
--- a/packages/cowslipfork/src/cowslipfork/requests/__init__.py
+++ b/packages/cowslipfork/src/cowslipfork/requests/__init__.py
@@ -1,15 +1,42 @@
 """What a caller asks for, and what an endpoint answers."""
 
 from cowslipfork.requests.answer import Answer, Cell, Column, Row, Rows
+from cowslipfork.requests.assignments import Assignment, parse_assignments
+from cowslipfork.requests.attributes import (
+    ATTRIBUTES,
+    NO_ATTRIBUTES,
+    VARIABLE_PREFIX,
+    AttributeRefused,
+    Attributes,
+    check_attributes,
+)
+from cowslipfork.requests.classification import classify
 from cowslipfork.requests.request import Operation, Request, Run
+from cowslipfork.requests.statement import (
+    Local,
+    Statement,
+    StatementRefused,
+)
 
 __all__ = (
+    'ATTRIBUTES',
+    'NO_ATTRIBUTES',
+    'VARIABLE_PREFIX',
     'Answer',
+    'Assignment',
+    'AttributeRefused',
+    'Attributes',
     'Cell',
     'Column',
+    'Local',
     'Operation',
     'Request',
     'Row',
     'Rows',
     'Run',
+    'Statement',
+    'StatementRefused',
+    'check_attributes',
+    'classify',
+    'parse_assignments',
 )
--- /dev/null
+++ b/packages/cowslipfork/src/cowslipfork/sessions/__init__.py
@@ -0,0 +1,17 @@
+"""Sessions: what a caller has written, carried from proxy to proxy."""
+
+from cowslipfork.sessions.token import (
+    TOKEN_GROUPS,
+    TokenMalformed,
+    decode_token,
+    encode_token,
+    is_token,
+)
+
+__all__ = (
+    'TOKEN_GROUPS',
+    'TokenMalformed',
+    'decode_token',
+    'encode_token',
+    'is_token',
+)
