--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/callers/local_answers.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/callers/local_answers.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import re
-from collections.abc import AsyncIterator, Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from typing import TypeAlias
 
 from mysql_mimic.types import ColumnType
 
-from cowslipfork.requests import Answer, Cell, Column, Row
+from cowslipfork.requests import Answer, Cell, Column, Row, Rows
 from cowslipfork.requests.shape import STRING, unquote, without_comments
 from cowslipfork_proxy.callers.failures import Fault, fault
 from cowslipfork_proxy.callers.variables import Setting
@@ -40,7 +40,7 @@
 _QUOTES = '`"\''
 
 
-async def _batch(rows: list[Row]) -> AsyncIterator[list[Row]]:
+async def _batch(rows: list[Row]) -> Rows:
     yield rows
 
 
--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/callers/results.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/callers/results.py
@@ -2,13 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import (
-    AsyncGenerator,
-    AsyncIterator,
-    Awaitable,
-    Callable,
-)
-from contextlib import asynccontextmanager
+from collections.abc import Awaitable, Callable
+from contextlib import aclosing
 from itertools import repeat
 from typing import TYPE_CHECKING, TypeAlias
 
@@ -17,7 +12,7 @@
 from mysql_mimic.results import ResultColumn
 from mysql_mimic.types import ColumnType
 
-from cowslipfork.requests import Answer, Cell, Column, Row, Rows
+from cowslipfork.requests import Answer, Cell, Column, Row
 from cowslipfork_proxy.callers.binary import binary_column
 from cowslipfork_proxy.callers.packets import make_column
 
@@ -47,7 +42,7 @@
     _write_head(connection, answer.columns)
     cells = tuple(repeat(_TEXT_CELL, len(answer.columns)))
     charset = connection.results_charset
-    async with _closing(answer.rows) as batches:
+    async with aclosing(answer.rows) as batches:
         async for batch in batches:
             if charset is not CharacterSet.utf8mb4:
                 batch = [_converted(row, charset.codec) for row in batch]
@@ -69,7 +64,7 @@
     stream = connection.stream
     _write_head(connection, answer.columns)
     columns = tuple(map(binary_column, answer.columns))
-    async with _closing(answer.rows) as batches:
+    async with aclosing(answer.rows) as batches:
         async for batch in batches:
             stream.write_many(
                 [make_binary_resultrow(row, columns) for row in batch],
@@ -78,16 +73,6 @@
     await stream.write(connection.ok_or_eof())
 
 
-@asynccontextmanager
-async def _closing(rows: Rows) -> AsyncIterator[Rows]:
-    """Closes a stream of rows also when the caller goes in the middle."""
-    try:
-        yield rows
-    finally:
-        if isinstance(rows, AsyncGenerator):
-            await rows.aclose()
-
-
 async def _write_figures(connection: CallerConnection, answer: Answer) -> None:
     packet = connection.ok(
         affected_rows=answer.affected_rows,
--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/callers/session.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/callers/session.py
@@ -9,7 +9,7 @@
 
 from cowslipfork.configuration import Configuration
 from cowslipfork.ids import GroupName, Mark, TeamName
-from cowslipfork.outcomes import Done, NotRun, Outcome, Reason
+from cowslipfork.outcomes import Done, NotRun, Outcome, Reason, Unknown
 from cowslipfork.requests import (
     NO_ATTRIBUTES,
     Answer,
@@ -62,6 +62,7 @@
         self._configuration = configuration
         self._transaction = CallerTransaction()
         self._marks: dict[GroupName, Mark] = {}
+        self._in_doubt: set[GroupName] = set()
         self._admission: Admission | None = None
         self._preset = NO_ATTRIBUTES
 
@@ -200,6 +201,7 @@
         self.variables.forget()
         self._preset = NO_ATTRIBUTES
         self._marks.clear()
+        self._in_doubt.clear()
         self.last_insert_id = 0
 
     def _check_place(self, statement: Statement) -> None:
@@ -307,7 +309,7 @@
             team=admission.team.name,
             deadline=now + admission.seconds(attributes),
             session=attributes.session,
-            marks=self._marks_for(attributes),
+            marks=self._marks_for(admission.group, attributes),
             request_id=attributes.request_id,
             transaction=self._transaction.identity,
         )
@@ -316,27 +318,36 @@
             outcome = await self._run(request)
         finally:
             self.reading = False
-        if isinstance(outcome, Done):
-            self._remember(admission.group, outcome.answer)
+        self._remember(admission.group, outcome)
         return outcome
 
     def _marks_for(
         self,
+        group: GroupName,
         attributes: Attributes,
     ) -> dict[GroupName, Mark] | None:
         """Marks that this session is known to have written.
 
         A session that gives only its id may have written elsewhere, so what
-        this connection wrote is not all of it.
+        this connection wrote is not all of it. Neither is it after a write
+        whose outcome is unknown.
         """
+        if group in self._in_doubt:
+            return None
         if attributes.marks is not None:
             return _merged(attributes.marks, self._marks)
         return None if attributes.session else dict(self._marks)
 
-    def _remember(self, group: GroupName, answer: Answer) -> None:
+    def _remember(self, group: GroupName, outcome: Outcome[Answer]) -> None:
+        if isinstance(outcome, Unknown):
+            self._in_doubt.add(group)
+        if not isinstance(outcome, Done):
+            return
+        answer = outcome.answer
         if answer.last_insert_id:
             self.last_insert_id = answer.last_insert_id
         if answer.mark is not None:
+            self._in_doubt.discard(group)
             self._marks[group] = max(
                 answer.mark,
                 self._marks.get(group, answer.mark),
