Accepting changes: public surface; what brought and showed

Two operators race and answers of the store get lost, so a change is one transaction on the condition that the current record is still the one it was made for, and carries its change_id into the audit record of its revision; reading that back decides what a lost answer meant. The change_id begins with the expected revision, so a repeat cannot name another one and no index of ids is needed (an index key per change was ruled out: a further key to bound).

--- a/packages/cowslipfork/src/cowslipfork/configuration/__init__.py
+++ b/packages/cowslipfork/src/cowslipfork/configuration/__init__.py
@@ -1,5 +1,16 @@
 """The operators' configuration: an INI base file and an overlay per site."""
 
+from cowslipfork.configuration.accept import ChangeLog
+from cowslipfork.configuration.audit import AuditPage, AuditQuery, query_audit
+from cowslipfork.configuration.change import (
+    Accepted,
+    Change,
+    ChangeId,
+    Conflict,
+    Unavailable,
+    new_change_id,
+)
+from cowslipfork.configuration.check import check_files
 from cowslipfork.configuration.difference import difference, files_of
 from cowslipfork.configuration.model import (
     AgeRule,
@@ -32,9 +43,16 @@
 )
 
 __all__ = (
+    'Accepted',
     'AgeRule',
+    'AuditPage',
+    'AuditQuery',
     'BadValue',
+    'Change',
+    'ChangeId',
+    'ChangeLog',
     'Configuration',
+    'Conflict',
     'Endpoint',
     'Failover',
     'FreshRule',
@@ -53,8 +71,12 @@
     'SessionRule',
     'Site',
     'Team',
+    'Unavailable',
+    'check_files',
     'difference',
     'files_of',
+    'new_change_id',
     'node_settings',
     'parse_configuration',
+    'query_audit',
 )
