Store contract against the stand-in; RESOURCE_EXHAUSTED is uncertain

The contract tests now run against the fake and against the etcd adapter on the lab's stand-in: 2 x 11 cases, with a lost answer and a list of 2,500 keys. A connection that a server closes for too many pings gives its calls in flight RESOURCE_EXHAUSTED, so that status proves nothing about a transaction; it is StoreUncertain now (its row in the fault table says so).

--- a/packages/cowslipfork/src/cowslipfork/store/etcd.py
+++ b/packages/cowslipfork/src/cowslipfork/store/etcd.py
@@ -45,14 +45,15 @@
     ('grpc.http2.max_pings_without_data', 0),
 )
 
-#: Answers by which the store says that it did not run a transaction.
+#: Answers by which the store says that it did not run a transaction. Not
+#: RESOURCE_EXHAUSTED: a connection that the server closes for too many pings
+#: gives its calls in flight that status too.
 _REJECTIONS = frozenset(
     (
         grpc.StatusCode.INVALID_ARGUMENT,
         grpc.StatusCode.FAILED_PRECONDITION,
         grpc.StatusCode.OUT_OF_RANGE,
         grpc.StatusCode.PERMISSION_DENIED,
-        grpc.StatusCode.RESOURCE_EXHAUSTED,
         grpc.StatusCode.UNAUTHENTICATED,
         grpc.StatusCode.UNIMPLEMENTED,
     ),
--- a/packages/cowslipfork/tests/store/test_contract.py
+++ b/packages/cowslipfork/tests/store/test_contract.py
@@ -5,8 +5,16 @@
 
 import pytest
 
-from cowslipfork.store import Compare, Event, Put
-from cowslipfork.store.memory import MemoryStore
+from cowslipfork.store import (
+    Budget,
+    Compare,
+    EtcdStore,
+    Event,
+    Put,
+    StoreUncertain,
+)
+from cowslipfork.store.memory import Fault, MemoryStore
+from cowslipfork_lab.store import StoreServer
 
 
 @asynccontextmanager
@@ -14,7 +22,18 @@
     yield MemoryStore()
 
 
-@pytest.fixture(params=[_memory])
+@asynccontextmanager
+async def _stand_in():
+    server = StoreServer()
+    await server.start()
+    store = EtcdStore('127.0.0.1', server.port, Budget(10_000, 10_000))
+    store.fail_once = lambda _: server.faults.set(b'/lab/lost_answers', b'1')
+    yield store
+    await store.close()
+    await server.close()
+
+
+@pytest.fixture(params=[_memory, _stand_in])
 async def store(request):
     async with request.param() as opened:
         yield opened
@@ -85,3 +104,19 @@
         await store.swap([], [Put('/elsewhere', b'')])
         third = (await store.swap([], [Put('/w/a', None)])).revision
         assert await later == [Event('/w/a', None, third)]
+
+
+async def test_a_lost_answer_leaves_the_write_done(store):
+    store.fail_once(Fault.LOST_ANSWER)
+    with pytest.raises(StoreUncertain):
+        await store.swap([], [Put('/k', b'x')])
+    assert (await store.get('/k')).content == b'x'
+
+
+async def test_a_list_longer_than_a_page_is_whole(store):
+    keys = [f'/long/{number:04}' for number in range(2500)]
+    for batch in range(0, len(keys), 100):
+        await store.swap([], [Put(key, b'') for key in keys[batch:][:100]])
+    entries, revision = await store.list_prefix('/long/')
+    assert [entry.key for entry in entries] == keys
+    assert revision == entries[-1].revision
--- a/packages/cowslipfork/tests/store/test_etcd.py
+++ b/packages/cowslipfork/tests/store/test_etcd.py
@@ -63,9 +63,10 @@
         (grpc.StatusCode.UNKNOWN, StoreUncertain),
         (grpc.StatusCode.INTERNAL, StoreUncertain),
         (grpc.StatusCode.CANCELLED, StoreUncertain),
-        (grpc.StatusCode.RESOURCE_EXHAUSTED, StoreDown),
+        (grpc.StatusCode.RESOURCE_EXHAUSTED, StoreUncertain),
         (grpc.StatusCode.INVALID_ARGUMENT, StoreDown),
         (grpc.StatusCode.UNAUTHENTICATED, StoreDown),
+        (grpc.StatusCode.PERMISSION_DENIED, StoreDown),
     ],
 )
 async def test_a_write_is_certain_only_if_the_store_refused_it(code, error):
