Administration API: credentials, roles, first accept, typed answers

The bootstrap credential counts only while no operator is in force, and only for Accept with expected revision 0. Viewers get configurations without hashes, also those in comments and over several lines. Stand-in of the store: it now allows a ping every 5 s, as etcd does; with gRPC's default it closed an idle watch after 30.1 s for too many pings (seen). 232 tests pass.

--- a/packages/cowslipfork-lab/src/cowslipfork_lab/store/server.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/store/server.py
@@ -16,6 +16,13 @@
 
 _log = logging.getLogger(__name__)
 
+#: Shortest time between a client's pings, in milliseconds; etcd's own.
+_MIN_PING_INTERVAL = 5000
+
+_SERVER_OPTIONS = (
+    ('grpc.http2.min_ping_interval_without_data_ms', _MIN_PING_INTERVAL),
+)
+
 
 class StoreServer:
     """A store that serves until it is closed."""
@@ -38,7 +45,7 @@
 
     async def start(self) -> None:
         """Begins to listen."""
-        server = grpc.aio.server()
+        server = grpc.aio.server(options=_SERVER_OPTIONS)
         rpc_pb2_grpc.add_KVServicer_to_server(
             KeyValueService(self.keys, self.faults),
             server,
--- /dev/null
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/administration/identity.py
@@ -0,0 +1,122 @@
+"""Who calls the administration API, and what they may do."""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import Final
+
+from cowslipfork.configuration import Configuration, Role
+from cowslipfork.errors import CowslipforkError
+
+#: Name in the audit trail of whoever accepts the first configuration.
+BOOTSTRAP: Final = 'bootstrap'
+
+_SCHEME: Final = 'bearer '
+
+
+@dataclass(frozen=True, slots=True)
+class Identity:
+    """An authenticated caller of the API.
+
+    Attributes:
+        name: for the audit trail.
+        first_only: whether it may do nothing but accept the first
+            configuration.
+    """
+
+    name: str
+    role: Role
+    first_only: bool = False
+
+
+class NoCredential(CowslipforkError):
+    """The call carries no credential that is known."""
+
+
+class Forbidden(CowslipforkError):
+    """The caller is known and may not do this."""
+
+    def __init__(self, name: str, needed: str) -> None:
+        """Remembers who lacked what.
+
+        Args:
+            name: the caller.
+            needed: role or state that the call needs.
+        """
+        super().__init__(f'{name} may not do this: {needed} is needed')
+        self.name = name
+        self.needed = needed
+
+
+def token_hash(token: str) -> str:
+    """Hashes a credential as ``token_hash`` keeps it."""
+    return hashlib.sha256(token.encode()).hexdigest()
+
+
+def identify(
+    metadata: Iterable[tuple[str, str | bytes]],
+    configuration: Configuration,
+    bootstrap_hash: str,
+) -> Identity:
+    """Finds out who calls.
+
+    Every known hash is compared, in constant time each, so that the time
+    taken tells nothing about them.
+
+    Args:
+        metadata: of the call.
+        configuration: in force at this node; without operators before the
+            first was accepted.
+        bootstrap_hash: of the credential for the first; empty: none.
+
+    Returns:
+        The caller.
+
+    Raises:
+        NoCredential: none was sent, or it is unknown.
+    """
+    sent = token_hash(_bearer(metadata))
+    known = {
+        operator.token_hash: Identity(operator.name, operator.role)
+        for operator in configuration.operators.values()
+    }
+    if not known and bootstrap_hash:
+        known = {
+            bootstrap_hash: Identity(BOOTSTRAP, Role.OPERATOR, first_only=True),
+        }
+    matching = [
+        identity
+        for kept, identity in known.items()
+        if hmac.compare_digest(kept, sent)
+    ]
+    if not matching:
+        raise NoCredential('credential is unknown')
+    return matching[0]
+
+
+def require(identity: Identity, role: Role) -> None:
+    """Checks that a caller has a role; operators may do all that viewers may.
+
+    Args:
+        identity: the caller.
+        role: role that the call needs.
+
+    Raises:
+        Forbidden: the caller lacks it.
+    """
+    if identity.role not in {role, Role.OPERATOR}:
+        raise Forbidden(identity.name, f'role {role.value}')
+
+
+def _bearer(metadata: Iterable[tuple[str, str | bytes]]) -> str:
+    sent = [
+        content
+        for key, content in metadata
+        if key == 'authorization' and isinstance(content, str)
+    ]
+    if len(sent) != 1 or not sent[0].lower().startswith(_SCHEME):
+        raise NoCredential('metadata "authorization: Bearer ..." is missing')
+    return sent[0][len(_SCHEME) :]
--- /dev/null
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/administration/servicer.py
@@ -0,0 +1,239 @@
+"""The service ``Admin``: changes, history, status and drains."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from types import MappingProxyType
+from typing import Any, Final
+
+import grpc
+
+from cowslipfork.configuration import (
+    AuditQuery,
+    Change,
+    ChangeId,
+    ChangeLog,
+    Configuration,
+    Role,
+    query_audit,
+)
+from cowslipfork.configuration.records import RecordUnreadable
+from cowslipfork.errors import CowslipforkError
+from cowslipfork.ids import Revision, VmId
+from cowslipfork.store import Store, StoreDown
+from cowslipfork.wire import admin_pb2, admin_pb2_grpc
+from cowslipfork.wire.records_pb2 import ConfigurationRecord
+from cowslipfork_proxy.administration._replies import accept_reply, redacted
+from cowslipfork_proxy.administration.identity import (
+    Forbidden,
+    Identity,
+    NoCredential,
+    identify,
+    require,
+)
+
+log = logging.getLogger(__name__)
+
+
+class NotFound(CowslipforkError):
+    """What the call names does not exist."""
+
+
+#: Most audit records in one reply.
+MAX_HISTORY: Final = 500
+
+_DEFAULT_HISTORY: Final = 20
+_RETRY_AFTER: Final = (('retry-after-ms', '1000'),)
+
+_STATUS: Final = MappingProxyType(
+    {
+        NoCredential: grpc.StatusCode.UNAUTHENTICATED,
+        NotFound: grpc.StatusCode.NOT_FOUND,
+        Forbidden: grpc.StatusCode.PERMISSION_DENIED,
+        StoreDown: grpc.StatusCode.UNAVAILABLE,
+        RecordUnreadable: grpc.StatusCode.DATA_LOSS,
+    },
+)
+
+
+@dataclass(frozen=True, slots=True)
+class AdminParts:
+    """What the service reaches of its node.
+
+    Attributes:
+        vm: name of the node.
+        store: the platform's store.
+        changes: accepted configurations.
+        configuration: gives the one in force at the node.
+        status: describes the node and all that it knows of others.
+        drain: starts the drain of a VM; False if there is no such VM.
+        bootstrap_hash: of the credential for the first configuration.
+    """
+
+    vm: VmId
+    store: Store
+    changes: ChangeLog
+    configuration: Callable[[], Configuration]
+    status: Callable[[], admin_pb2.StatusReply]
+    drain: Callable[[VmId], Awaitable[bool]]
+    bootstrap_hash: str = ''
+
+
+class AdminService(admin_pb2_grpc.AdminServicer):
+    """Serves operators; every call needs a credential."""
+
+    def __init__(self, parts: AdminParts) -> None:
+        """Serves from a node's parts.
+
+        Args:
+            parts: what the service reaches of its node.
+        """
+        self._parts = parts
+
+    async def Accept(
+        self,
+        request: admin_pb2.AcceptRequest,
+        context: Any,
+    ) -> admin_pb2.AcceptReply:
+        """Accepts a change, or says why not."""
+        async with self._caller(context, Role.OPERATOR) as caller:
+            if caller.first_only and request.expected_revision:
+                raise Forbidden(caller.name, 'a credential of an operator')
+            change = Change(
+                Revision(request.expected_revision),
+                request.base,
+                dict(request.overlays),
+                caller.name,
+                request.reason,
+                ChangeId(request.change_id),
+            )
+            outcome = await self._parts.changes.accept(change)
+            reply = accept_reply(outcome)
+            _log_change(change, reply)
+            return reply
+
+    async def Current(
+        self,
+        request: admin_pb2.CurrentRequest,
+        context: Any,
+    ) -> ConfigurationRecord:
+        """Gives an accepted configuration; viewers get it without secrets."""
+        async with self._caller(context, Role.VIEWER) as caller:
+            _refuse_first_only(caller)
+            changes = self._parts.changes
+            record = (
+                await changes.at(Revision(request.revision))
+                if request.revision
+                else await changes.current()
+            )
+            if record is None:
+                raise NotFound('no such revision, or it has been archived')
+            return record if caller.role is Role.OPERATOR else redacted(record)
+
+    async def History(
+        self,
+        request: admin_pb2.HistoryRequest,
+        context: Any,
+    ) -> admin_pb2.HistoryReply:
+        """Queries the audit trail."""
+        async with self._caller(context, Role.VIEWER) as caller:
+            _refuse_first_only(caller)
+            query = AuditQuery(
+                limit=min(request.limit or _DEFAULT_HISTORY, MAX_HISTORY),
+                operator=request.operator,
+                since_ms=request.since_ms,
+                containing=request.containing,
+                before=request.before,
+            )
+            page = await query_audit(self._parts.store, query)
+            return admin_pb2.HistoryReply(
+                records=page.records,
+                next_before=page.next_before,
+            )
+
+    async def Status(
+        self,
+        request: admin_pb2.StatusRequest,
+        context: Any,
+    ) -> admin_pb2.StatusReply:
+        """Describes the fleet as this node sees it."""
+        async with self._caller(context, Role.VIEWER):
+            return self._parts.status()
+
+    async def Drain(
+        self,
+        request: admin_pb2.DrainRequest,
+        context: Any,
+    ) -> admin_pb2.DrainReply:
+        """Starts the drain of a VM."""
+        async with self._caller(context, Role.OPERATOR) as caller:
+            _refuse_first_only(caller)
+            vm = VmId(request.vm or self._parts.vm)
+            started = await self._parts.drain(vm)
+            log.info(
+                'drain asked for',
+                extra={
+                    'operator': caller.name,
+                    'drained': vm,
+                    'started': started,
+                },
+            )
+            if not started:
+                raise NotFound(f'no VM {vm}')
+            return admin_pb2.DrainReply(started=True)
+
+    @asynccontextmanager
+    async def _caller(
+        self,
+        context: Any,
+        role: Role,
+    ) -> AsyncIterator[Identity]:
+        """Lets a caller with a role in; typed failures become a status."""
+        try:
+            identity = identify(
+                context.invocation_metadata() or (),
+                self._parts.configuration(),
+                self._parts.bootstrap_hash,
+            )
+            require(identity, role)
+            yield identity
+        except (NoCredential, Forbidden) as refusal:
+            _log_refusal(context, refusal)
+            await _abort(context, refusal)
+        except (NotFound, StoreDown, RecordUnreadable) as failure:
+            await _abort(context, failure)
+
+
+async def _abort(context: Any, failure: CowslipforkError) -> None:
+    status = next(
+        status for sort, status in _STATUS.items() if isinstance(failure, sort)
+    )
+    down = status is grpc.StatusCode.UNAVAILABLE
+    await context.abort(status, str(failure), _RETRY_AFTER if down else ())
+
+
+def _refuse_first_only(caller: Identity) -> None:
+    if caller.first_only:
+        raise Forbidden(caller.name, 'an accepted configuration')
+
+
+def _log_refusal(context: Any, refusal: CowslipforkError) -> None:
+    log.warning(
+        'administration refused',
+        extra={'peer': context.peer(), 'cause': str(refusal)},
+    )
+
+
+def _log_change(change: Change, reply: admin_pb2.AcceptReply) -> None:
+    log.info(
+        'change answered',
+        extra={
+            'operator': change.operator,
+            'change_id': change.change_id,
+            'expected_revision': change.expected,
+            'result': reply.WhichOneof('result'),
+        },
+    )
--- a/packages/cowslipfork/src/cowslipfork/configuration/__init__.py
+++ b/packages/cowslipfork/src/cowslipfork/configuration/__init__.py
@@ -11,7 +11,11 @@
     new_change_id,
 )
 from cowslipfork.configuration.check import check_files
-from cowslipfork.configuration.difference import difference, files_of
+from cowslipfork.configuration.difference import (
+    difference,
+    files_of,
+    redact,
+)
 from cowslipfork.configuration.model import (
     AgeRule,
     Configuration,
@@ -79,4 +83,5 @@
     'node_settings',
     'parse_configuration',
     'query_audit',
+    'redact',
 )
--- a/packages/cowslipfork/src/cowslipfork/configuration/difference.py
+++ b/packages/cowslipfork/src/cowslipfork/configuration/difference.py
@@ -4,6 +4,7 @@
 
 import difflib
 import hashlib
+import re
 from collections.abc import Iterable, Iterator, Mapping
 
 from cowslipfork.configuration._ini import read_ini
@@ -16,6 +17,10 @@
     key.name for section in CONFIGURATION for key in section.keys if key.secret
 )
 _DIGEST_LENGTH = 8
+_SECRET_LINE = re.compile(
+    rf'^([\s#;]*({"|".join(sorted(_SECRETS))})\s*=\s*)(.*(?:\n[ \t]+\S.*)*)$',
+    re.MULTILINE,
+)
 
 
 def difference(
@@ -60,6 +65,21 @@
     return {'base': base, **named}
 
 
+def redact(text: str) -> str:
+    """Replaces the secrets of an INI text, also those over several lines.
+
+    Args:
+        text: text of a base file or an overlay.
+
+    Returns:
+        The text with the first digits of a digest in place of each secret.
+    """
+    return _SECRET_LINE.sub(
+        lambda found: f'{found[1]}{_shown(found[2], found[3])}',
+        text,
+    )
+
+
 def _compare(file: str, old: str, new: str) -> Iterator[str]:
     if old == new:
         return iter(())
