--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/administration/identity.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/administration/identity.py
@@ -24,7 +24,7 @@
     Attributes:
         name: for the audit trail.
         first_only: whether it may do nothing but accept the first
-            configuration.
+            configuration and see it come into force.
     """
 
     name: str
@@ -32,6 +32,11 @@
     first_only: bool = False
 
 
+#: Stays known after the first was accepted: its answer may have been lost,
+#: and on top of revision 0 nothing else can be accepted any more.
+_FIRST: Final = Identity(BOOTSTRAP, Role.OPERATOR, first_only=True)
+
+
 class NoCredential(CowslipforkError):
     """The call carries no credential that is known."""
 
@@ -83,10 +88,8 @@
         operator.token_hash: Identity(operator.name, operator.role)
         for operator in configuration.operators.values()
     }
-    if not known and bootstrap_hash:
-        known = {
-            bootstrap_hash: Identity(BOOTSTRAP, Role.OPERATOR, first_only=True),
-        }
+    if bootstrap_hash:
+        known[bootstrap_hash] = _FIRST
     matching = [
         identity
         for kept, identity in known.items()
--- a/packages/cowslipfork/src/cowslipfork/configuration/difference.py
+++ b/packages/cowslipfork/src/cowslipfork/configuration/difference.py
@@ -17,6 +17,7 @@
     key.name for section in CONFIGURATION for key in section.keys if key.secret
 )
 _DIGEST_LENGTH = 8
+_REDACTED = re.compile('<secret [0-9a-f]+>')
 _SECRET_LINE = re.compile(
     rf'^([\s#;]*({"|".join(sorted(_SECRETS))})\s*=\s*)(.*(?:\n[ \t]+\S.*)*)$',
     re.MULTILINE,
@@ -118,5 +119,7 @@
 def _shown(key: str, text: str) -> str:
     if key not in _SECRETS:
         return ' '.join(text.split())
+    if _REDACTED.fullmatch(text):
+        return text
     digest = hashlib.sha256(text.encode()).hexdigest()
     return f'<secret {digest[:_DIGEST_LENGTH]}>'
