Suspicion, promotion and supervision of a group

Cause: nobody orders a promotion; the carrier has to find a primary gone and replace it, and any claimer may die, be paused or lose the store on the way.

- suspicion: a refused new connection or an endpoint that says it does not lead counts at once, silence after suspect_after on the kept and on a new connection; then most nodes asked (the asking one counts as one) must miss the primary too.
- a primary cut from its replicas that nodes still reach: all replicas lag without a move for 1 s; replaced at most each 10 s.
Publish goes before follow: nothing depends on followers before the record, and one loop mends all stragglers.

Found while writing the proof: a mark of an earlier term held by a majority is not safe (a log that ends in a term between wins a later promotion), and a repeat of a job would have been confirmed on it. acknowledged() now waits for an entry of the term itself; begin_term writes one after each promotion. test_an_entry_of_an_earlier_term_is_no_safe_one failed without safe_mark.

--- a/packages/cowslipfork/src/cowslipfork/groups/_evidence.py
+++ b/packages/cowslipfork/src/cowslipfork/groups/_evidence.py
@@ -6,7 +6,7 @@
 
 from cowslipfork.groups.check import CheckPoint, Sample, Violation
 from cowslipfork.groups.port import EndpointRole, EndpointStatus
-from cowslipfork.ids import EndpointId, Mark, Term
+from cowslipfork.ids import ORIGIN, EndpointId, Mark, Position, Term
 
 
 def majority_of(endpoints: int) -> int:
@@ -87,6 +87,18 @@
     return min(primary.status.mark, marks[needed - 1])
 
 
+def safe_mark(term: Term, mark: Mark) -> Mark:
+    """Gives the mark that a majority must hold for a mark to be safe.
+
+    An entry of an earlier term can be held by a majority and still lose
+    against a log with an entry of a term in between; once a majority holds
+    an entry of this term, every later primary has all before it.
+    """
+    if mark == ORIGIN:
+        return mark
+    return max(mark, Mark(term, Position(0)))
+
+
 def replaced(
     term: Term,
     samples: Iterable[Sample],
--- /dev/null
+++ b/packages/cowslipfork/src/cowslipfork/groups/_followers.py
@@ -0,0 +1,97 @@
+"""Makes endpoints follow the published primary of their group."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable
+from contextlib import suppress
+
+from cowslipfork.groups._evidence import leads, safe_mark
+from cowslipfork.groups.port import EndpointRole, EndpointSilent, TermRefused
+from cowslipfork.groups.record import GroupRecord
+from cowslipfork.groups.tracker import Tracker
+from cowslipfork.ids import EndpointId, Term
+
+log = logging.getLogger(__name__)
+
+#: Time-outs that an endpoint gets to agree with its new primary's log.
+FOLLOW_TIMEOUTS = 3
+
+
+async def mend_followers(
+    tracker: Tracker,
+    begin_term: Callable[[EndpointId, Term], Awaitable[None]],
+) -> None:
+    """Runs one task for each endpoint until cancelled.
+
+    Args:
+        tracker: samples of the group.
+        begin_term: writes the first entry of a term on its primary.
+    """
+    async with asyncio.TaskGroup() as tasks:
+        for endpoint in tracker.controls:
+            tasks.create_task(_mend(tracker, endpoint, begin_term))
+
+
+async def _mend(
+    tracker: Tracker,
+    endpoint: EndpointId,
+    begin_term: Callable[[EndpointId, Term], Awaitable[None]],
+) -> None:
+    while True:
+        record = tracker.record
+        if record.serving and not tracker.silence(endpoint):
+            with suppress(EndpointSilent, TermRefused):
+                if endpoint == record.primary:
+                    await _begin(tracker, record, begin_term)
+                else:
+                    await _follow(tracker, record, endpoint)
+        await tracker.changed(tracker.failover.probe_interval)
+
+
+async def _begin(
+    tracker: Tracker,
+    record: GroupRecord,
+    begin_term: Callable[[EndpointId, Term], Awaitable[None]],
+) -> None:
+    status = tracker.status(record.primary)
+    if status is None or not leads(status, record.term):
+        return
+    if status.mark < safe_mark(record.term, status.mark):
+        await begin_term(record.primary, record.term)
+
+
+async def _follow(
+    tracker: Tracker,
+    record: GroupRecord,
+    endpoint: EndpointId,
+) -> None:
+    """Fences a straggler if it is in an earlier term, and has it follow.
+
+    The record's primary is never fenced here: its sample may be older than
+    its promotion.
+    """
+    status = tracker.status(endpoint)
+    if status is None or status.term > record.term:
+        return
+    if status.term == record.term and status.role is not EndpointRole.FENCED:
+        return
+    control = tracker.controls[endpoint]
+    timeout = tracker.failover.probe_timeout
+    if status.term < record.term:
+        await control.fence(record.term, timeout)
+    await control.follow(
+        record.term,
+        record.primary,
+        timeout * FOLLOW_TIMEOUTS,
+    )
+    log.info(
+        'endpoint follows',
+        extra={
+            'group': record.group,
+            'term': record.term,
+            'primary': record.primary,
+            'endpoint': endpoint,
+        },
+    )
--- a/packages/cowslipfork/src/cowslipfork/groups/tracker.py
+++ b/packages/cowslipfork/src/cowslipfork/groups/tracker.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable, Mapping
+from contextlib import suppress
 from itertools import count
 
 from expression import Error, Ok
@@ -12,8 +13,10 @@
 from cowslipfork.groups._evidence import (
     check_point,
     held_mark,
+    leads,
     majority_of,
     replaced,
+    safe_mark,
     violations,
 )
 from cowslipfork.groups._proof import ProvedPoints
@@ -86,6 +89,9 @@
         self._waiting = 0
         self._wanted = asyncio.Event()
         self._adopted = asyncio.Event()
+        self._adopted_at = 0
+        self._alarm = asyncio.Event()
+        self._moved_at: dict[EndpointId, float] = {}
 
     @property
     def record(self) -> GroupRecord:
@@ -121,9 +127,11 @@
         if not record.supersedes(self._record):
             return False
         self._record = record
+        self._adopted_at = next(self._ordinals)
         self._fail_waiters()
         self._adopted.set()
         self._adopted = asyncio.Event()
+        self._alarm.set()
         return True
 
     def _fail_waiters(self) -> None:
@@ -154,11 +162,28 @@
             return False
         return True
 
+    async def changed(self, seconds: float) -> None:
+        """Waits for a newer record.
+
+        Args:
+            seconds: longest wait.
+        """
+        with suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                await self._adopted.wait()
+
     def status(self, endpoint: EndpointId) -> EndpointStatus | None:
         """Gives an endpoint's last answer, however old."""
         sample = self._samples.get(endpoint)
         return None if sample is None else sample.status
 
+    def current(self, endpoint: EndpointId) -> EndpointStatus | None:
+        """Gives an endpoint's last answer since the record is known."""
+        sample = self._samples.get(endpoint)
+        if sample is None or sample.ordinal < self._adopted_at:
+            return None
+        return sample.status
+
     def silence(self, endpoint: EndpointId) -> float:
         """Gives the seconds since the begin of the first missed sample."""
         since = self._silent_since.get(endpoint)
@@ -190,6 +215,22 @@
         since = self._points.lacking_since(sample.status.mark)
         return 0 if since is None else self._now() - since
 
+    def unmoved(self, endpoint: EndpointId) -> float:
+        """Gives the seconds since an endpoint's mark last changed."""
+        moved_at = self._moved_at.get(endpoint)
+        return 0 if moved_at is None else self._now() - moved_at
+
+    async def alarmed(self, seconds: float) -> None:
+        """Waits for a sign of trouble at the primary or a new record.
+
+        Args:
+            seconds: longest wait.
+        """
+        with suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                await self._alarm.wait()
+        self._alarm.clear()
+
     async def check(self, term: Term, deadline: float) -> Found:
         """Learns a mark that covers every write acknowledged until now.
 
@@ -213,8 +254,11 @@
             deadline: loop time in seconds.
 
         Returns:
-            The mark that a majority holds in the term, the primary included;
-            STALE_TERM or NO_MAJORITY leave the write's outcome unknown.
+            The mark that a majority holds in the term, the primary included.
+            It is a mark of the term itself: an entry of an earlier term may
+            be lost although a majority holds it, so something must have been
+            written in the term. STALE_TERM or NO_MAJORITY leave the write's
+            outcome unknown.
         """
         return await self._join(self._writes, term, deadline)
 
@@ -246,12 +290,17 @@
                     fresh=False,
                 )
             except EndpointSilent:
-                self._silent_since.setdefault(endpoint, begun)
+                self._missed(endpoint, begun)
                 await self._until(begun + self._failover.probe_interval)
             else:
                 self.observe(endpoint, Sample(ordinal, begun, status))
                 await self._pause(begun)
 
+    def _missed(self, endpoint: EndpointId, begun: float) -> None:
+        self._silent_since.setdefault(endpoint, begun)
+        if endpoint == self._record.primary:
+            self._alarm.set()
+
     async def _pause(self, begun: float) -> None:
         try:
             async with asyncio.timeout_at(
@@ -273,7 +322,11 @@
         for violation in violations(endpoint, sample.status, self._samples):
             self._count(violation)
         self._silent_since.pop(endpoint, None)
+        if before is None or before.status.mark != sample.status.mark:
+            self._moved_at[endpoint] = sample.begun
         self._samples[endpoint] = sample
+        if endpoint == self._record.primary and self._troubled(sample.status):
+            self._alarm.set()
         if sample.status.role is EndpointRole.REPLICA:
             mark = sample.status.mark
             self._readers.pass_up_to(mark, settler(mark))
@@ -281,6 +334,9 @@
         if self._record.serving and primary is not None:
             self._resolve(primary)
 
+    def _troubled(self, status: EndpointStatus) -> bool:
+        return status.leaving or not leads(status, self._record.term)
+
     def _resolve(self, primary: Sample) -> None:
         term = self._record.term
         samples = self._samples.values()
@@ -289,10 +345,11 @@
             self._fail_waiters()
         point = check_point(term, primary, samples, endpoints)
         if point is not None and self._points.add(point):
+            safe = safe_mark(term, point.mark)
             self._checks.pass_up_to(point.ordinal, settler(point.mark))
             self._writes.pass_up_to(
                 point.ordinal,
-                lambda waiter: self._unheld.join(point.mark, waiter),
+                lambda waiter: self._unheld.join(safe, waiter),
             )
         held = held_mark(term, primary, samples, endpoints)
         if held is not None:
--- a/packages/cowslipfork/tests/fakes/fake_group.py
+++ b/packages/cowslipfork/tests/fakes/fake_group.py
@@ -4,6 +4,8 @@
 
 import asyncio
 from dataclasses import dataclass, field
+from itertools import takewhile
+from operator import eq
 
 from cowslipfork.groups import (
     EndpointRole,
@@ -55,9 +57,12 @@
         return self.status()
 
     def promote(self, term):
-        if term != self.term or self.role is EndpointRole.REPLICA:
+        if term != self.term:
             raise TermRefused(self.name, term)
-        self.role = EndpointRole.PRIMARY
+        if self.role is not EndpointRole.PRIMARY:
+            if self.role is EndpointRole.REPLICA or self.leader:
+                raise TermRefused(self.name, term)
+            self.role = EndpointRole.PRIMARY
         return self.status()
 
     def follow(self, term, leader):
@@ -65,21 +70,23 @@
             term == self.term and self.role is EndpointRole.PRIMARY
         ):
             raise TermRefused(self.name, term)
-        if self.role is EndpointRole.REPLICA and self.leader == leader.name:
-            if term == self.term:
-                return self.status()
-        if leader.term != term or leader.role is not EndpointRole.PRIMARY:
-            raise EndpointSilent(self.name, 'its new primary is not ready')
-        shared = 0
-        for own, other in zip(self.log, leader.log, strict=False):
-            if own != other:
-                break
-            shared += 1
-        del self.log[shared:]
-        self.term, self.role = term, EndpointRole.REPLICA
-        self.leader = leader.name
+        if (term, leader) != (self.term, self.leader):
+            self.term, self.leader = term, leader
+            self.role = EndpointRole.FENCED
         return self.status()
 
+    def agree(self, leader):
+        """Drops what the primary lacks and becomes a replica."""
+        pairs = zip(self.log, leader.log, strict=False)
+        shared = sum(1 for _ in takewhile(lambda pair: eq(*pair), pairs))
+        del self.log[shared:]
+        self.role = EndpointRole.REPLICA
+
+    def restart(self):
+        """Comes back as the platform's endpoints do: fenced in its term."""
+        self.dead = False
+        self.role, self.leader = EndpointRole.FENCED, None
+
     def write(self, term, entry):
         if term != self.term or self.role is not EndpointRole.PRIMARY:
             raise WriteRefused(self.name)
@@ -125,11 +132,13 @@
             await asyncio.sleep(REPLICATION_DELAY + server.lag)
             leader = self.servers.get(server.leader)
             if leader is not None and self._linked(server, leader):
+                if server.role is EndpointRole.FENCED:
+                    server.agree(leader)
                 server.log.extend(leader.log[len(server.log) :])
 
     def _linked(self, server, leader):
         return (
-            server.role is EndpointRole.REPLICA
+            server.role is not EndpointRole.PRIMARY
             and leader.role is EndpointRole.PRIMARY
             and server.term == leader.term
             and not self.is_cut(server.name, leader.name)
@@ -171,10 +180,9 @@
         return await self.ask(timeout, lambda: self.server.promote(term))
 
     async def follow(self, term, primary, timeout):
-        leader = self.group.servers[primary]
-        if self.group.is_cut(self.endpoint, primary) or leader.dead:
-            raise EndpointSilent(self.endpoint, 'cannot reach its primary')
-        return await self.ask(timeout, lambda: self.server.follow(term, leader))
+        return await self.ask(
+            timeout, lambda: self.server.follow(term, primary)
+        )
 
     async def write(self, term, entry, timeout):
         return await self.ask(timeout, lambda: self.server.write(term, entry))
--- a/packages/cowslipfork/tests/fakes/tracked.py
+++ b/packages/cowslipfork/tests/fakes/tracked.py
@@ -82,5 +82,5 @@
         group.servers[name].fence(record.term)
     group.servers[primary].promote(record.term)
     for name in others:
-        group.servers[name].follow(record.term, group.servers[primary])
+        group.servers[name].follow(record.term, primary)
     tracker.adopt(record.publish(ONE, primary))
--- a/packages/cowslipfork/tests/groups/test_record.py
+++ b/packages/cowslipfork/tests/groups/test_record.py
@@ -1,5 +1,4 @@
 import pytest
-from fake_store import FakeStore
 from virtual_time import run_virtual
 
 from cowslipfork.configuration import Group
@@ -19,6 +18,7 @@
 from cowslipfork.groups.record import PublishRefused
 from cowslipfork.ids import EndpointId, GroupName
 from cowslipfork.store import StoreDown, StoreUncertain
+from cowslipfork.store.memory import Fault, MemoryStore
 
 GROUP = Group(GroupName('g'), 'g', (EndpointId('e1'), EndpointId('e2')))
 ONE, TWO = ClaimerId('vm1/1'), ClaimerId('vm2/1')
@@ -57,18 +57,29 @@
 
 
 @pytest.mark.parametrize(
-    ('lost_before', 'lost_after', 'swaps'),
-    [(0, 0, 1), (0, 1, 1), (1, 0, 1), (2, 1, 1), (3, 0, 1)],
+    ('faults', 'late'),
+    [
+        ([], False),
+        ([Fault.LOST_ANSWER], False),
+        ([Fault.LOST_REQUEST], False),
+        ([Fault.LATE_WRITE], False),
+        ([Fault.LATE_WRITE, Fault.LOST_ANSWER], True),
+        ([Fault.LOST_REQUEST] * 2 + [Fault.LOST_ANSWER], False),
+        ([Fault.LATE_WRITE] * 3, True),
+    ],
 )
-def test_lost_answers_are_read_back(lost_before, lost_after, swaps):
+def test_lost_answers_are_read_back(faults, late):
     async def scenario():
-        store = FakeStore()
-        store.lost_before, store.lost_after = lost_before, lost_after
+        store = MemoryStore()
+        for fault in faults:
+            store.fail_once(fault)
         held = await claim_record(store, await read_record(store, GROUP), ONE)
-        assert store.swaps == swaps
+        if late:
+            store.deliver_late()
+        assert store.revision == 1
         assert held == await read_record(store, GROUP)
         assert held.record.claimer == ONE
-        store.lost_after = 1
+        store.fail_once(Fault.LOST_ANSWER)
         await publish_record(store, held, ONE, E2)
         return (await read_record(store, GROUP)).record
 
@@ -78,17 +89,18 @@
 
 def test_a_lost_answer_is_not_taken_for_a_success_of_another():
     async def scenario():
-        store = FakeStore()
+        store = MemoryStore()
         before = await read_record(store, GROUP)
         await claim_record(store, before, TWO)
-        for lost_before in (0, 1):
-            store.lost_before = lost_before
+        for faults in ([], [Fault.LOST_REQUEST], [Fault.LATE_WRITE]):
+            for fault in faults:
+                store.fail_once(fault)
             with pytest.raises(RecordConflict):
                 await claim_record(store, before, ONE)
-        store.lost_before = 9
+        store.fail(Fault.LOST_REQUEST)
         with pytest.raises(StoreUncertain):
             await claim_record(store, await read_record(store, GROUP), ONE)
-        store.down = True
+        store.fail(Fault.DOWN)
         with pytest.raises(StoreDown):
             await read_record(store, GROUP)
 
--- a/packages/cowslipfork/tests/groups/test_tracker.py
+++ b/packages/cowslipfork/tests/groups/test_tracker.py
@@ -77,6 +77,20 @@
     assert await tracker.acknowledged(Term(1), now() + 1) == found
 
 
+@virtual
+async def test_an_entry_of_an_earlier_term_is_no_safe_one(group, tracker):
+    lost = write(group)
+    await asyncio.sleep(0.3)
+    replace_primary(group, tracker)
+    await asyncio.sleep(0.3)
+    assert [server.mark for server in group.servers.values()] == [lost] * 3
+    assert await tracker.check(Term(2), now() + 1) == Ok(lost)
+    # A majority holds it, and a log that ends in a term between could win.
+    assert await tracker.acknowledged(Term(2), now() + 1) == SILENT
+    mark = write(group, E2)
+    assert await tracker.acknowledged(Term(2), now() + 1) == Ok(mark)
+
+
 @virtual
 async def test_a_write_is_acknowledged_when_a_majority_holds_it(group, tracker):
     group.cut(E1, E2)
