--- a/packages/cowslipfork-lab/src/cowslipfork_lab/cli.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/cli.py
@@ -7,17 +7,22 @@
 import signal
 import sys
 from collections.abc import Coroutine
+from pathlib import Path
 from typing import Annotated, Any
 
 import typer
 import uvloop
 
+from cowslipfork.errors import CowslipforkError
+from cowslipfork_lab.demo import run_demo
 from cowslipfork_lab.endpoint import EndpointSettings, run_endpoint
 from cowslipfork_lab.relay import run_relay
 from cowslipfork_lab.store import run_store
 
 app = typer.Typer(no_args_is_help=True, add_completion=False)
 
+_SAMPLE = Path('samples/hilal')
+_RUN = Path('run/demo')
 _PRIMARY_HELP = 'host:port of the first primary to follow; self to be it.'
 
 
@@ -72,6 +77,19 @@
     run_until_signal(run_relay())
 
 
+@app.command()
+def demo(
+    sample: Annotated[Path, typer.Option(help='Deployment.')] = _SAMPLE,
+    directory: Annotated[Path, typer.Option(help='Logs go here.')] = _RUN,
+) -> None:
+    """Starts everything on loopback, drives it step by step, stops it."""
+    try:
+        uvloop.run(run_demo(sample, directory))
+    except CowslipforkError as error:
+        typer.echo(f'demo: {error}', err=True)
+        raise typer.Exit(1) from error
+
+
 def run_until_signal(work: Coroutine[Any, Any, None]) -> None:
     """Runs a server until SIGTERM or ctrl-C.
 
--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/carrier/__init__.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/carrier/__init__.py
@@ -1,7 +1,7 @@
 """Carrying of groups: every decision about a group's statements."""
 
-from cowslipfork_proxy.carrier.assembly import assemble
 from cowslipfork_proxy.carrier.carriers import Carried, Carriers
+from cowslipfork_proxy.carrier.carrying import CarryingParts, carry
 from cowslipfork_proxy.carrier.group_carrier import GroupCarrier
 
-__all__ = ('Carried', 'Carriers', 'GroupCarrier', 'assemble')
+__all__ = ('Carried', 'Carriers', 'CarryingParts', 'GroupCarrier', 'carry')
--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/carrier/_grants.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/carrier/_grants.py
@@ -154,6 +154,15 @@
         """Slots of the endpoints."""
         return self._queue
 
+    def abandon(self, term: Term) -> None:
+        """Ends statements that still run in an earlier term.
+
+        Args:
+            term: the term now in force.
+        """
+        for pool in self._pools.values():
+            pool.abandon(term)
+
     def close(self) -> None:
         """Closes every connection at once."""
         for pool in self._pools.values():
--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/carrier/assembly.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/carrier/assembly.py
@@ -6,7 +6,7 @@
 from typing import Final
 
 from cowslipfork.configuration import Configuration, Endpoint, Group
-from cowslipfork.groups import GroupRecord, Tracker, Violation
+from cowslipfork.groups import GroupRecord, Health, Tracker, Violation
 from cowslipfork.limits import SlotQueue
 from cowslipfork_proxy.carrier._grants import Grants
 from cowslipfork_proxy.carrier.group_carrier import GroupCarrier
@@ -65,7 +65,7 @@
         for name, endpoint in endpoints.items()
     }
     grants = Grants(queue, pools, _CONNECT_TIMEOUT)
-    return GroupCarrier(group, configuration, tracker, grants)
+    return GroupCarrier(group, configuration, tracker, grants, Health())
 
 
 def pool_limit(endpoint: Endpoint) -> int:
--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/carrier/group_carrier.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/carrier/group_carrier.py
@@ -13,7 +13,7 @@
     Kind,
     RequestClass,
 )
-from cowslipfork.groups import Tracker
+from cowslipfork.groups import GroupRecord, Health, Tracker, write_refusal
 from cowslipfork.ids import (
     ORIGIN,
     ClassName,
@@ -62,6 +62,7 @@
         configuration: Callable[[], Configuration],
         tracker: Tracker,
         grants: Grants,
+        health: Health,
     ) -> None:
         """Wires the parts of a group.
 
@@ -70,11 +71,14 @@
             configuration: gives the configuration in force.
             tracker: what is known of its endpoints.
             grants: slots and connections of its endpoints.
+            health: how the group fares, told by its supervision.
         """
         self._group = group
         self._configuration = configuration
         self._tracker = tracker
         self._grants = grants
+        self._health = health
+        self._held = 0
         self._table = JobTable()
         self._retries = RetryBudget(configuration().limits.retry_share)
         self._transactions = Transactions(
@@ -93,6 +97,25 @@
         """What is known of the group's endpoints."""
         return self._tracker
 
+    @property
+    def health(self) -> Health:
+        """How the group fares."""
+        return self._health
+
+    @property
+    def grants(self) -> Grants:
+        """Slots and connections of the group's endpoints."""
+        return self._grants
+
+    def adopt(self, record: GroupRecord) -> None:
+        """Takes a newer record over and ends what ran in earlier terms.
+
+        Args:
+            record: a record of the group as heard.
+        """
+        if self._tracker.adopt(record):
+            self._grants.abandon(record.term)
+
     def close(self) -> None:
         """Stops carrying: ends transactions, closes every connection."""
         self._transactions.close()
@@ -157,21 +180,42 @@
                 self._wanted_primary(request, kind, in_transaction=True),
                 self._acknowledged,
             )
+        refused = await self._no_primary(request)
+        if refused is not None:
+            return refused
         record = self._tracker.record
-        if not record.serving:
-            return _no_primary()
         grant = await self._grants.pinned(record.primary, record.term)
         if not isinstance(grant, Grant):
             return not_granted(grant)
         return await self._transactions.begin(request, grant)
 
     async def _primary(self, request: Request, kind: Kind) -> Grant | NotRun:
-        if not self._tracker.record.serving:
-            return _no_primary()
+        refused = await self._no_primary(request)
+        if refused is not None:
+            return refused
         wanted = self._wanted_primary(request, kind, in_transaction=False)
         grant = await self._grants.grant(wanted)
         return grant if isinstance(grant, Grant) else not_granted(grant)
 
+    async def _no_primary(self, request: Request) -> NotRun | None:
+        """Holds a request while a primary is chosen, within bounds.
+
+        Returns:
+            None once there is a primary; otherwise why the request is given
+            up, at once if no promotion is under way.
+        """
+        refused = write_refusal(self._health.condition)
+        if refused is not None or self._tracker.record.serving:
+            return refused
+        if self._held >= self._configuration().limits.hold:
+            return _choosing_primary()
+        self._held += 1
+        try:
+            served = await self._tracker.served(request.deadline)
+        finally:
+            self._held -= 1
+        return None if served else _choosing_primary()
+
     def _wanted_primary(
         self,
         request: Request,
@@ -221,7 +265,7 @@
     return None
 
 
-def _no_primary() -> NotRun:
+def _choosing_primary() -> NotRun:
     return NotRun(Reason.NO_PRIMARY, RECONNECT_MS, 'a primary is being chosen')
 
 
--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/endpoints/pool.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/endpoints/pool.py
@@ -120,6 +120,18 @@
         while self._idle:
             self._idle.pop().close()
 
+    def abandon(self, term: Term) -> None:
+        """Closes lent connections that are bound to an earlier term.
+
+        Whoever waits for an answer on one learns at once that it broke.
+
+        Args:
+            term: the term now in force.
+        """
+        for connection in self._lent:
+            if connection.term is not None and connection.term < term:
+                connection.close()
+
     def close(self) -> None:
         """Closes everything, lent connections included."""
         self._closed = True
--- a/packages/cowslipfork/src/cowslipfork/groups/__init__.py
+++ b/packages/cowslipfork/src/cowslipfork/groups/__init__.py
@@ -34,11 +34,12 @@
     publish_record,
     read_record,
 )
-from cowslipfork.groups.supervision import Supervision, supervise
+from cowslipfork.groups.supervision import BeginTerm, Supervision, supervise
 from cowslipfork.groups.suspicion import AskPeers, Evidence, examine
 from cowslipfork.groups.tracker import Tracker
 
 __all__ = (
+    'BeginTerm',
     'AskPeers',
     'CheckFailure',
     'CheckPoint',
