Certificates of the gRPC port are replaced without a restart

Files are looked at with each new connection. A rule of 'both files must have changed' was ruled out: a renewed certificate keeps its key.

--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/administration/credentials.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/administration/credentials.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import ssl
 from collections.abc import Callable
 from pathlib import Path
 
@@ -19,7 +20,7 @@
     """Makes credentials of a gRPC port from files.
 
     The files are looked at with each new connection. While they cannot be
-    read, or only one of them has been replaced, the last pair stays in use.
+    read, or do not belong together, the last pair stays in use.
 
     Args:
         certificate: chain in PEM.
@@ -68,12 +69,11 @@
         nonlocal loaded
         try:
             found = _read(paths)
+            if found == loaded:
+                return None
+            _check_pair(*paths[:2])
         except OSError as error:
-            log.warning('certificate unreadable', extra={'cause': str(error)})
-            return None
-        key_and_certificate = zip(found[:2], loaded[:2], strict=True)
-        changed = [new != old for new, old in key_and_certificate]
-        if found == loaded or any(changed) != all(changed):
+            log.warning('certificate unusable', extra={'cause': str(error)})
             return None
         loaded = found
         log.info('certificate replaced', extra={'file': str(paths[1])})
@@ -82,6 +82,12 @@
     return fetch
 
 
+def _check_pair(key: Path, certificate: Path) -> None:
+    """Raises ``SSLError``, an ``OSError``, if the two do not match."""
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    context.load_cert_chain(certificate, key)
+
+
 def _read(paths: tuple[Path, ...]) -> tuple[bytes, ...]:
     return tuple(path.read_bytes() for path in paths)
 
