Lab: relay before nodes; libc is loaded before forks

The driver forks with gRPC threads running, so the child must not load a library between fork and exec. Nodes listed on the platform's list are now reached through the relay; what they report of themselves goes past it.

--- a/packages/cowslipfork-lab/src/cowslipfork_lab/cluster/cluster.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/cluster/cluster.py
@@ -260,8 +260,11 @@
 
     async def _fill_lists(self) -> None:
         for node in self._nodes:
+            port = node.ports.peer_port
+            if self._relay:
+                port = await self._relay.listen(node.vm, port)
             await self.platform.put_vm(
-                _entry(node.vm, node.failure_domain, node.ports.peer_port),
+                _entry(node.vm, node.failure_domain, port),
             )
         for group in self._plan.group_names:
             for endpoint in self._plan.endpoints(group):
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/cluster/process.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/cluster/process.py
@@ -16,6 +16,8 @@
 STOP_SECONDS = 15.0
 _LOG_TAIL_LINES = 20
 _PR_SET_PDEATHSIG = 1
+# Loaded before any fork: the child of a threaded driver may take no locks.
+_LIBC = ctypes.CDLL(None)
 
 
 class ProcessEnded(CowslipforkError):
@@ -161,7 +163,6 @@
 
 def _end_with_driver() -> None:
     """Asks the kernel for SIGTERM when the driver ends, however it ends."""
-    libc = ctypes.CDLL(None)
-    libc.prctl(_PR_SET_PDEATHSIG, signal.SIGTERM)
+    _LIBC.prctl(_PR_SET_PDEATHSIG, signal.SIGTERM)
     # Signals of the terminal reach the driver only, which stops its children.
     os.setpgid(0, 0)
