--- a/packages/cowslipfork/src/cowslipfork/groups/tracker.py
+++ b/packages/cowslipfork/src/cowslipfork/groups/tracker.py
@@ -4,12 +4,22 @@
 
 import asyncio
 from collections.abc import Callable, Mapping
+from contextlib import suppress
 from itertools import count
 
 from expression import Error, Ok
 
 from cowslipfork.configuration import Failover
-from cowslipfork.groups._proof import ProvedPoints, check_point, majority_of
+from cowslipfork.groups._evidence import (
+    check_point,
+    held_mark,
+    leads,
+    majority_of,
+    replaced,
+    safe_mark,
+    violations,
+)
+from cowslipfork.groups._proof import ProvedPoints
 from cowslipfork.groups._waiters import (
     Found,
     Waiters,
@@ -78,6 +88,10 @@
         self._readers: Waiters[Mark] = Waiters()
         self._waiting = 0
         self._wanted = asyncio.Event()
+        self._adopted = asyncio.Event()
+        self._adopted_at = 0
+        self._alarm = asyncio.Event()
+        self._moved_at: dict[EndpointId, float] = {}
 
     @property
     def record(self) -> GroupRecord:
@@ -113,7 +127,11 @@
         if not record.supersedes(self._record):
             return False
         self._record = record
+        self._adopted_at = next(self._ordinals)
         self._fail_waiters()
+        self._adopted.set()
+        self._adopted = asyncio.Event()
+        self._alarm.set()
         return True
 
     def _fail_waiters(self) -> None:
@@ -122,11 +140,50 @@
         for marked in (self._unheld, self._readers):
             marked.fail(CheckFailure.STALE_TERM)
 
+    @property
+    def waiting(self) -> int:
+        """Number of calls that wait for samples."""
+        return self._waiting
+
+    async def served(self, deadline: float) -> bool:
+        """Waits until the record names a primary.
+
+        Args:
+            deadline: loop time in seconds.
+
+        Returns:
+            Whether it does before the deadline.
+        """
+        try:
+            async with asyncio.timeout_at(deadline):
+                while not self._record.serving:
+                    await self._adopted.wait()
+        except TimeoutError:
+            return False
+        return True
+
+    async def changed(self, seconds: float) -> None:
+        """Waits for a newer record.
+
+        Args:
+            seconds: longest wait.
+        """
+        with suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                await self._adopted.wait()
+
     def status(self, endpoint: EndpointId) -> EndpointStatus | None:
         """Gives an endpoint's last answer, however old."""
         sample = self._samples.get(endpoint)
         return None if sample is None else sample.status
 
+    def current(self, endpoint: EndpointId) -> EndpointStatus | None:
+        """Gives an endpoint's last answer since the record is known."""
+        sample = self._samples.get(endpoint)
+        if sample is None or sample.ordinal < self._adopted_at:
+            return None
+        return sample.status
+
     def silence(self, endpoint: EndpointId) -> float:
         """Gives the seconds since the begin of the first missed sample."""
         since = self._silent_since.get(endpoint)
@@ -145,6 +202,35 @@
         point = self._points.holding(sample.status.mark)
         return None if point is None else self._now() - point.begun
 
+    def behind(self, endpoint: EndpointId) -> float | None:
+        """Gives the seconds for which an endpoint has lacked a known mark.
+
+        Returns:
+            0 if it lacks nothing that a check found; None if it never
+            answered.
+        """
+        sample = self._samples.get(endpoint)
+        if sample is None:
+            return None
+        since = self._points.lacking_since(sample.status.mark)
+        return 0 if since is None else self._now() - since
+
+    def unmoved(self, endpoint: EndpointId) -> float:
+        """Gives the seconds since an endpoint's mark last changed."""
+        moved_at = self._moved_at.get(endpoint)
+        return 0 if moved_at is None else self._now() - moved_at
+
+    async def alarmed(self, seconds: float) -> None:
+        """Waits for a sign of trouble at the primary or a new record.
+
+        Args:
+            seconds: longest wait.
+        """
+        with suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                await self._alarm.wait()
+        self._alarm.clear()
+
     async def check(self, term: Term, deadline: float) -> Found:
         """Learns a mark that covers every write acknowledged until now.
 
@@ -168,8 +254,11 @@
             deadline: loop time in seconds.
 
         Returns:
-            The mark that a majority holds in the term, the primary included;
-            STALE_TERM or NO_MAJORITY leave the write's outcome unknown.
+            The mark that a majority holds in the term, the primary included.
+            It is a mark of the term itself: an entry of an earlier term may
+            be lost although a majority holds it, so something must have been
+            written in the term. STALE_TERM or NO_MAJORITY leave the write's
+            outcome unknown.
         """
         return await self._join(self._writes, term, deadline)
 
@@ -201,12 +290,17 @@
                     fresh=False,
                 )
             except EndpointSilent:
-                self._silent_since.setdefault(endpoint, begun)
+                self._missed(endpoint, begun)
                 await self._until(begun + self._failover.probe_interval)
             else:
                 self.observe(endpoint, Sample(ordinal, begun, status))
                 await self._pause(begun)
 
+    def _missed(self, endpoint: EndpointId, begun: float) -> None:
+        self._silent_since.setdefault(endpoint, begun)
+        if endpoint == self._record.primary:
+            self._alarm.set()
+
     async def _pause(self, begun: float) -> None:
         try:
             async with asyncio.timeout_at(
@@ -225,97 +319,54 @@
         before = self._samples.get(endpoint)
         if before is not None and before.ordinal > sample.ordinal:
             return
+        for violation in violations(endpoint, sample.status, self._samples):
+            self._count(violation)
         self._silent_since.pop(endpoint, None)
+        if before is None or before.status.mark != sample.status.mark:
+            self._moved_at[endpoint] = sample.begun
         self._samples[endpoint] = sample
-        self._count_violations(endpoint, sample.status, before)
+        if endpoint == self._record.primary and self._troubled(sample.status):
+            self._alarm.set()
         if sample.status.role is EndpointRole.REPLICA:
             mark = sample.status.mark
             self._readers.pass_up_to(mark, settler(mark))
-        if self._record.serving:
-            self._resolve_checks()
-            self._resolve_writes()
-
-    def _resolve_checks(self) -> None:
         primary = self._samples.get(self._record.primary)
-        if primary is None:
-            return
-        point = check_point(
-            self._record.term,
-            primary,
-            (
-                sample
-                for endpoint, sample in self._samples.items()
-                if endpoint != self._record.primary
-            ),
-            len(self._controls),
-        )
+        if self._record.serving and primary is not None:
+            self._resolve(primary)
+
+    def _troubled(self, status: EndpointStatus) -> bool:
+        return status.leaving or not leads(status, self._record.term)
+
+    def _resolve(self, primary: Sample) -> None:
+        term = self._record.term
+        samples = self._samples.values()
+        endpoints = len(self._controls)
+        if replaced(term, samples, endpoints):
+            self._fail_waiters()
+        point = check_point(term, primary, samples, endpoints)
         if point is not None and self._points.add(point):
+            safe = safe_mark(term, point.mark)
             self._checks.pass_up_to(point.ordinal, settler(point.mark))
             self._writes.pass_up_to(
                 point.ordinal,
-                lambda waiter: self._unheld.join(point.mark, waiter),
+                lambda waiter: self._unheld.join(safe, waiter),
             )
-
-    def _resolve_writes(self) -> None:
-        if self._replaced():
-            self._fail_waiters()
-        held = self._held_mark(self._record.term)
+        held = held_mark(term, primary, samples, endpoints)
         if held is not None:
             self._unheld.pass_up_to(held, self._acknowledge(held))
 
-    def _replaced(self) -> bool:
-        """Tells whether a majority has left the record's term behind."""
-        later = [
-            endpoint
-            for endpoint, sample in self._samples.items()
-            if sample.status.term > self._record.term
-        ]
-        return len(later) >= self.majority
-
     def _acknowledge(
         self,
         held: Mark,
     ) -> Callable[[asyncio.Future[Found]], None]:
         def acknowledge(waiter: asyncio.Future[Found]) -> None:
-            if self._replaced():
+            samples = self._samples.values()
+            if replaced(self._record.term, samples, len(self._controls)):
                 self._count(Violation.STALE_ACKNOWLEDGEMENT)
             settle(waiter, Ok(held))
 
         return acknowledge
 
-    def _held_mark(self, term: Term) -> Mark | None:
-        """Finds the highest mark that a majority holds in the term."""
-        primary = self._samples.get(self._record.primary)
-        if primary is None or not _leads(primary.status, term):
-            return None
-        marks = sorted(
-            (
-                sample.status.mark
-                for sample in self._samples.values()
-                if sample.status.term == term
-            ),
-            reverse=True,
-        )
-        if len(marks) < self.majority:
-            return None
-        return min(primary.status.mark, marks[self.majority - 1])
-
-    def _count_violations(
-        self,
-        endpoint: EndpointId,
-        status: EndpointStatus,
-        before: Sample | None,
-    ) -> None:
-        if before is not None and _went_back(before.status, status):
-            self._count(Violation.MARK_WENT_BACKWARDS)
-        rivals = [
-            other
-            for other, sample in self._samples.items()
-            if other != endpoint and _leads(sample.status, status.term)
-        ]
-        if rivals and _leads(status, status.term):
-            self._count(Violation.TWO_PRIMARIES)
-
     def _waiter(self) -> asyncio.Future[Found]:
         return asyncio.get_running_loop().create_future()
 
@@ -344,13 +395,3 @@
             self._waiting -= 1
             if not self._waiting:
                 self._wanted.clear()
-
-
-def _leads(status: EndpointStatus, term: Term) -> bool:
-    return status.role is EndpointRole.PRIMARY and status.term == term
-
-
-def _went_back(before: EndpointStatus, after: EndpointStatus) -> bool:
-    # A fenced endpoint may drop a tail of its log when it follows.
-    same = before.term == after.term and before.role is after.role
-    return same and after.mark < before.mark
