Heartbeats and fetches between nodes over gRPC

Cause: the control loops need real streams. The dialling end opens a fresh channel for each link, so a connection that went silent is never used again; a plain TCP connection tells refusal from silence, which gRPC's status does not. gRPC cancels the accepting handler when the other process ends, so the link runs in a task of its own and still finds out why.

--- /dev/null
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/peers/__init__.py
@@ -0,0 +1,6 @@
+"""Other nodes over gRPC: heartbeats, fetches, probes."""
+
+from cowslipfork_proxy.peers.client import GrpcPeers
+from cowslipfork_proxy.peers.service import MembershipService
+
+__all__ = ('GrpcPeers', 'MembershipService')
--- a/packages/cowslipfork/tests/membership/test_fleet.py
+++ b/packages/cowslipfork/tests/membership/test_fleet.py
@@ -1,5 +1,6 @@
 import asyncio
 import random
+from functools import partial
 
 from fake_fleet import FakeWorld, five_nodes, until
 from virtual_time import run_virtual
@@ -19,6 +20,10 @@
     return run
 
 
+def in_force(world, revision):
+    return world.revisions() == {revision}
+
+
 @scenario
 async def test_change_comes_into_force_on_all_nodes():
     world = await five_nodes()
@@ -26,7 +31,7 @@
     assert await until(lambda: world.revisions() == {1}, 2) < 0.5
     for revision in range(2, 30):
         world.accept(revision)
-        await until(lambda: world.revisions() == {revision}, 1)
+        await until(partial(in_force, world, revision), 1)
     links = [len(node.fleet.links) for node in world.nodes.values()]
     assert links == [4] * 5
     await world.stop()
