Hold writes while the primary is gone instead of burning retries

Cause: after a kill every try met a refused address, so that the retry budget was gone within milliseconds, long before the promotion. Ruled out: a larger budget (a storm against a dead address) and a fixed pause (adds to the gap). Now a write waits for a check in its term or a newer record, looked at each 100 ms for a condition that stops promotions, within deadline and bound. Before: demo failed at 'kill the primary and book again'.

--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/carrier/group_carrier.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/carrier/group_carrier.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Awaitable, Callable
 from functools import partial
 from typing import Final
@@ -37,6 +38,9 @@
 from cowslipfork_proxy.carrier._transactions import Transactions
 from cowslipfork_proxy.carrier._writes import remaining, run_write
 
+#: Seconds between looks at whether a held request is still worth holding.
+_LOOK: Final = 0.1
+
 #: Kind of requests that name none: fresh reads, no jobs.
 SAFEST_KIND: Final = Kind(
     KindName('default'),
@@ -135,17 +139,29 @@
         kind = self._kind(request)
         if request.operation is Operation.READ:
             return await self._read(request, kind)
-        return await self._again(request, partial(self._write, request, kind))
+        return await self._again(
+            request,
+            partial(self._write, request, kind),
+            self._recovered,
+        )
 
     async def _again(
         self,
         request: Request,
         attempt: Callable[[], Awaitable[Outcome[Answer]]],
+        pause: Callable[[Request], Awaitable[NotRun | None]],
     ) -> Outcome[Answer]:
-        """Repeats an attempt that was not run, within the retry budget."""
+        """Repeats an attempt that was not run, within the retry budget.
+
+        ``pause`` waits until another try may fare better, or gives the
+        request up.
+        """
         self._retries.first_try()
         outcome = await attempt()
         while _passing(outcome) and remaining(request):
+            given_up = await pause(request)
+            if given_up is not None:
+                return given_up
             if not self._retries.may_retry():
                 break
             outcome = await attempt()
@@ -159,7 +175,7 @@
             self._session_mark(request),
         )
         attempt = partial(run_read, read, self._tracker, self._grants)
-        return await self._again(request, attempt)
+        return await self._again(request, attempt, _at_once)
 
     async def _write(self, request: Request, kind: Kind) -> Outcome[Answer]:
         refused = _write_refusal(request, kind)
@@ -198,23 +214,54 @@
         return grant if isinstance(grant, Grant) else not_granted(grant)
 
     async def _no_primary(self, request: Request) -> NotRun | None:
-        """Holds a request while a primary is chosen, within bounds.
+        """Holds a request while a primary is chosen."""
+        return await self._held_until(
+            request,
+            lambda until: self._tracker.served(until),
+        )
+
+    async def _recovered(self, request: Request) -> NotRun | None:
+        """Holds a request until the primary answers again or is replaced."""
+        term = self._tracker.record.term
+
+        async def proved(until: float) -> bool:
+            if not await self._tracker.served(until):
+                return False
+            if self._tracker.record.term != term:
+                return True
+            return (await self._tracker.check(term, until)).is_ok()
+
+        return await self._held_until(request, proved)
+
+    async def _held_until(
+        self,
+        request: Request,
+        proved: Callable[[float], Awaitable[bool]],
+    ) -> NotRun | None:
+        """Holds a request, within its deadline and a bound.
+
+        Args:
+            request: the request.
+            proved: waits until a loop time for what is hoped for.
 
         Returns:
-            None once there is a primary; otherwise why the request is given
-            up, at once if no promotion is under way.
+            None once it is there; otherwise why the request is given up,
+            as soon as no promotion is under way.
         """
-        refused = write_refusal(self._health.condition)
-        if refused is not None or self._tracker.record.serving:
-            return refused
         if self._held >= self._configuration().limits.hold:
             return _choosing_primary()
+        loop = asyncio.get_running_loop()
         self._held += 1
         try:
-            served = await self._tracker.served(request.deadline)
+            while remaining(request):
+                refused = write_refusal(self._health.condition)
+                if refused is not None:
+                    return refused
+                if await proved(min(request.deadline, loop.time() + _LOOK)):
+                    return None
         finally:
             self._held -= 1
-        return None if served else _choosing_primary()
+        return _choosing_primary()
 
     def _wanted_primary(
         self,
@@ -265,6 +312,10 @@
     return None
 
 
+async def _at_once(request: Request) -> None:
+    """Lets a read be tried at once, on another endpoint."""
+
+
 def _choosing_primary() -> NotRun:
     return NotRun(Reason.NO_PRIMARY, RECONNECT_MS, 'a primary is being chosen')
 
