--- /dev/null
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/peers/feeding.py
@@ -0,0 +1,113 @@
+"""Hands what spreads between nodes to the parts of this node."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+
+from cowslipfork.configuration import parse_configuration
+from cowslipfork.configuration.records import decode_configuration
+from cowslipfork.errors import CowslipforkError
+from cowslipfork.groups import GroupRecord, decode_record, encode_record
+from cowslipfork.groups.record import record_key
+from cowslipfork.ids import Revision, SiteName
+from cowslipfork.membership import Member, Members, MemberState
+from cowslipfork.spread import HeldRecord, Holdings, RecordKind, kind_of
+from cowslipfork.spread.record import read_record
+from cowslipfork_proxy.holdings import Holdings as NodeHoldings
+from cowslipfork_proxy.holdings import Neighbour
+
+log = logging.getLogger(__name__)
+
+
+def feed_records(
+    records: Holdings,
+    holdings: NodeHoldings,
+    site: SiteName,
+    in_force: Callable[[Revision], None],
+) -> None:
+    """Puts records in force at this node as they arrive.
+
+    Args:
+        records: what spreads.
+        holdings: where the node's parts look.
+        site: whose overlay applies.
+        in_force: called with each revision that was put in force.
+    """
+
+    def put(record: HeldRecord) -> None:
+        kind = kind_of(record.key)
+        content = record.content or b''
+        try:
+            if kind is RecordKind.GROUP:
+                holdings.hear_records((decode_record(record.key, content),))
+            elif kind is RecordKind.CONFIGURATION:
+                _put_configuration(record.key, content)
+        except CowslipforkError as error:
+            log.error('record unusable', extra={'cause': str(error)})
+
+    def _put_configuration(key: str, content: bytes) -> None:
+        record = decode_configuration(key, content)
+        overlay = record.overlays.get(site, '')
+        parsed = parse_configuration(record.base, overlay, site)
+        if parsed.is_error():
+            log.error(
+                'configuration unreadable',
+                extra={'revision': record.revision, 'cause': parsed.error},
+            )
+            return
+        revision = Revision(record.revision)
+        if holdings.put_in_force(revision, parsed.ok):
+            log.info('configuration in force', extra={'revision': revision})
+            in_force(revision)
+
+    records.watch(put)
+
+
+def feed_members(members: Members, holdings: NodeHoldings) -> None:
+    """Keeps the node's list of VMs that may carry groups.
+
+    Args:
+        members: VMs of the fleet.
+        holdings: where the node's parts look.
+    """
+
+    def renew() -> None:
+        holdings.hear_neighbours(
+            [
+                _neighbour(Member(members.own)),
+                *(
+                    _neighbour(member)
+                    for member in members.all.values()
+                    if member.state is not MemberState.GONE
+                ),
+            ],
+        )
+
+    def changed(before: Member | None, after: Member) -> None:
+        if before is None or _neighbour(before) != _neighbour(after):
+            renew()
+        elif before.state is not after.state:
+            renew()
+
+    members.watch(changed)
+    renew()
+
+
+def announce(records: Holdings, record: GroupRecord) -> None:
+    """Spreads a group record that this node has written to the store.
+
+    Args:
+        records: what spreads.
+        record: as it was written.
+    """
+    content = encode_record(record)
+    records.apply(read_record(record_key(record.group), content, 0))
+
+
+def _neighbour(member: Member) -> Neighbour:
+    return Neighbour(
+        member.report.place,
+        member.report.address,
+        not member.may_carry,
+    )
--- a/packages/cowslipfork/src/cowslipfork/membership/fleet.py
+++ b/packages/cowslipfork/src/cowslipfork/membership/fleet.py
@@ -18,11 +18,7 @@
 from cowslipfork.membership.topology import neighbours_of, relays_of
 from cowslipfork.spread.fetch import Fetcher
 from cowslipfork.spread.holdings import Holdings
-from cowslipfork.spread.record import (
-    CONFIGURATION_KEY,
-    VMS_PREFIX,
-    HeldRecord,
-)
+from cowslipfork.spread.record import VMS_PREFIX, HeldRecord
 from cowslipfork.wire import node_pb2
 
 #: Seconds for which the store's last answer proves that a node is current.
@@ -106,6 +102,14 @@
         self._members.update(own)
         self._links.wake()
 
+    def in_force(self, revision: Revision) -> None:
+        """Tells that a configuration is in force at this node.
+
+        Args:
+            revision: its number.
+        """
+        self.tell(replace(self._members.own, revision=revision))
+
     def leave(self) -> None:
         """Tells all nodes that this one takes no new work any more."""
         self.tell(replace(self._members.own, state=MemberState.LEAVING))
@@ -224,9 +228,5 @@
             self._links.wake()
 
     def _on_record(self, record: HeldRecord) -> None:
-        if record.key == CONFIGURATION_KEY:
-            revision = Revision(record.version.major)
-            own = self._members.own
-            self._members.update(replace(own, revision=revision))
         self._list_changed |= record.key.startswith(VMS_PREFIX)
         self._links.wake()
--- a/packages/cowslipfork/tests/fakes/fake_fleet.py
+++ b/packages/cowslipfork/tests/fakes/fake_fleet.py
@@ -5,7 +5,13 @@
 import asyncio
 from functools import partial
 
-from cowslipfork.ids import FailureDomain, Incarnation, RegionName, VmId
+from cowslipfork.ids import (
+    FailureDomain,
+    Incarnation,
+    RegionName,
+    Revision,
+    VmId,
+)
 from cowslipfork.membership.fleet import Fleet
 from cowslipfork.membership.member import MemberState, Report
 from cowslipfork.membership.members import Members
@@ -47,6 +53,7 @@
                 self.fleet.store_seen,
             ).run(),
         )
+        self.holdings.watch(self.put_in_force)
         world.network.listen(
             name,
             self.fleet.serve,
@@ -54,6 +61,10 @@
         )
         self.task = asyncio.create_task(self.fleet.run(world.seeds(name)))
 
+    def put_in_force(self, record):
+        if record.key == CONFIGURATION_KEY:
+            self.fleet.in_force(Revision(record.version.major))
+
     def states(self):
         return {
             vm: member.state.value for vm, member in self.members.all.items()
