Tests of credentials answer with the probe's new result field

The tests use the message as a stand-in answer; they set the new field, their assertions are as they were.

--- a/packages/cowslipfork-proxy/tests/administration/test_credentials.py
+++ b/packages/cowslipfork-proxy/tests/administration/test_credentials.py
@@ -18,7 +18,7 @@
 
 class Membership(node_pb2_grpc.MembershipServicer):
     async def Probe(self, request, context):
-        return node_pb2.ProbeReply(reachable=True)
+        return node_pb2.ProbeReply(result=node_pb2.PROBE_RESULT_REACHED)
 
 
 def put(folder, name, *suffixes):
--- a/packages/cowslipfork-proxy/tests/administration/test_peer_secret.py
+++ b/packages/cowslipfork-proxy/tests/administration/test_peer_secret.py
@@ -14,7 +14,7 @@
 
 class Membership(node_pb2_grpc.MembershipServicer):
     async def Probe(self, request, context):
-        return node_pb2.ProbeReply(reachable=True)
+        return node_pb2.ProbeReply(result=node_pb2.PROBE_RESULT_REACHED)
 
     async def Exchange(self, requests, context):
         async for heartbeat in requests:
