Nodes act together: fleet loops in the node, groups handed over

Now relays watch; records and members spread over links. A group that moves (leaving node, joined node) is retired: new statements are not run and tried at the next carrier, statements in flight and open transactions finish within limits.drain, then the report of carried groups lets the next one start. A node without a majority of its region carries nothing. A refused dial proves an end only of a VM that is not live: else a firewall between two nodes would have the fleet disagree for as long as it stands. Status names every VM with state, revision and relay.

--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/carrier/group_carrier.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/carrier/group_carrier.py
@@ -111,6 +111,11 @@
         """Slots and connections of the group's endpoints."""
         return self._grants
 
+    @property
+    def open_transactions(self) -> int:
+        """Transactions that have begun and not ended."""
+        return self._transactions.count
+
     def adopt(self, record: GroupRecord) -> None:
         """Takes a newer record over and ends what ran in earlier terms.
 
--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/node.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/node.py
@@ -7,6 +7,7 @@
 import signal
 from collections.abc import Sequence
 from contextlib import AsyncExitStack, suppress
+from dataclasses import replace
 from functools import partial
 from typing import Final
 from uuid import uuid4
@@ -29,11 +30,13 @@
 )
 from cowslipfork.ids import EndpointId, GroupName, RegionName, Term, VmId
 from cowslipfork.limits import TeamLimits
-from cowslipfork.membership import Place, carrier_of, rank
+from cowslipfork.membership import Member, Place, carrier_of, rank
+from cowslipfork.membership.handover import holders_of
 from cowslipfork.requests import Run
 from cowslipfork.store import Store
 from cowslipfork.store.etcd import EtcdStore
 from cowslipfork.wire import admin_pb2, admin_pb2_grpc, node_pb2_grpc
+from cowslipfork_proxy import peers, status
 from cowslipfork_proxy.administration import AdminParts, AdminService
 from cowslipfork_proxy.admission import admitting
 from cowslipfork_proxy.callers import CallerSettings, serve_callers
@@ -42,10 +45,8 @@
 from cowslipfork_proxy.forwarding import CarrierLink, CarrierService
 from cowslipfork_proxy.holdings import Holdings
 from cowslipfork_proxy.metrics import gauge, set_up_metrics
-from cowslipfork_proxy.polling import poll_store
-from cowslipfork_proxy.probing import MOST_ASKED, ProbeService, ask_nodes
+from cowslipfork_proxy.probing import MOST_ASKED, ask_nodes, probe
 from cowslipfork_proxy.routing import Router
-from cowslipfork_proxy.status import group_statuses, impediments
 
 log = logging.getLogger(__name__)
 
@@ -81,7 +82,12 @@
         self._violations = self._meter.create_counter('invariant_violations')
         self._holdings = Holdings(_empty(settings))
         self._login = Login()
-        self._carriers = Carriers(partial(carry, self._parts()))
+        self._fleet: peers.FleetParts | None = None
+        self._carriers = Carriers(
+            partial(carry, self._parts()),
+            lambda: self._holdings.configuration.limits.drain,
+            self._settle,
+        )
         self._channels: dict[VmId, grpc.aio.Channel] = {}
         self._links: dict[VmId, CarrierLink] = {}
         self._router = Router(
@@ -96,13 +102,7 @@
         gauge(self._meter, 'configuration_revision', self._revision)
         settings = self._settings
         async with AsyncExitStack() as stack:
-            server = self._peer_server()
-            await server.start()
-            stack.push_async_callback(server.stop, _GRACE)
-            poller = asyncio.create_task(
-                poll_store(self._store, self._holdings, settings.site),
-            )
-            stack.callback(poller.cancel)
+            fleet = await self._start_fleet(stack)
             callers = await serve_callers(
                 CallerSettings(settings.host, settings.caller_port),
                 admitting(self._router.run, TeamLimits(), self._configuration),
@@ -113,17 +113,66 @@
             log.info('node started', extra={'port': callers.port})
             await self._stop.wait()
             log.info('node draining')
+            fleet.fleet.leave()
+            self._settle()
             await callers.drain()
+            await self._carriers.finished()
         log.info('node stopped')
 
-    def _peer_server(self) -> grpc.aio.Server:
+    async def _start_fleet(self, stack: AsyncExitStack) -> peers.FleetParts:
         server = grpc.aio.server()
+        fleet = self._assemble_fleet(server)
+        self._fleet = fleet
+        self._add_services(server, fleet)
+        await server.start()
+        stack.push_async_callback(server.stop, _GRACE)
+        seeds = [f'{host}:{port}' for host, port in self._settings.peers]
+        loops = asyncio.create_task(fleet.fleet.run(seeds))
+        stack.callback(loops.cancel)
+        return fleet
+
+    def _assemble_fleet(self, server: grpc.aio.Server) -> peers.FleetParts:
+        settings = self._settings
+        port = server.add_insecure_port(
+            f'{settings.host}:{settings.peer_port}',
+        )
+        parts = peers.assemble_fleet(
+            peers.FleetNeeds(
+                settings,
+                f'{settings.host}:{port}',
+                self._store,
+                self._holdings,
+                grpc.aio.insecure_channel,
+                lambda request: probe(
+                    request,
+                    self._configuration(),
+                    self._login,
+                ),
+                lambda key: self._violations.add(1, {'key': key}),
+            ),
+            asyncio.get_running_loop().time(),
+        )
+        parts.fleet.watch_touch(self._settle)
+        parts.members.watch(self._on_member)
+        return parts
+
+    def _on_member(self, before: Member | None, after: Member) -> None:
+        # Another node has stopped carrying, or has begun.
+        carried = before.report.carries if before else frozenset()
+        if carried != after.report.carries:
+            self._settle()
+
+    def _add_services(
+        self,
+        server: grpc.aio.Server,
+        fleet: peers.FleetParts,
+    ) -> None:
         node_pb2_grpc.add_CarrierServicer_to_server(
             CarrierService(self._carriers.run),
             server,
         )
         node_pb2_grpc.add_MembershipServicer_to_server(
-            ProbeService(self._configuration, self._login),
+            fleet.service,
             server,
         )
         admin_pb2_grpc.add_AdminServicer_to_server(
@@ -140,9 +189,6 @@
             ),
             server,
         )
-        settings = self._settings
-        server.add_insecure_port(f'{settings.host}:{settings.peer_port}')
-        return server
 
     async def _drain(self, vm: VmId) -> bool:
         if vm != self._vm:
@@ -159,20 +205,15 @@
             vm=self._vm,
             revision=self._holdings.revision,
             store_reachable=True,
-            nodes=[
-                admin_pb2.NodeStatus(
-                    vm=vm,
-                    state='leaving' if neighbour.leaving else 'live',
-                    failure_domain=neighbour.place.failure_domain,
-                )
-                for vm, neighbour in self._holdings.neighbours.items()
-            ],
-            groups=group_statuses(
+            nodes=status.node_statuses(self._fleet.members)
+            if self._fleet
+            else (),
+            groups=status.group_statuses(
                 records,
                 self._carriers.carried,
                 self._carrier_of,
             ),
-            cannot=impediments(self._carriers.carried),
+            cannot=status.impediments(self._carriers.carried),
         )
 
     def _configuration(self) -> Configuration:
@@ -211,14 +252,32 @@
 
     def _settle(self) -> None:
         """Carries the groups that rendezvous gives to this VM."""
+        fleet = self._fleet
+        if fleet is None:
+            return
         groups = self._holdings.configuration.groups
         self._carriers.settle(
-            group for group in groups if self._carrier_of(group) == self._vm
+            [group for group in groups if self._may_carry(group, fleet)],
         )
         for name, carrier in self._carriers.carried.items():
             record = self._holdings.records.get(name)
             if record is not None:
                 carrier.adopt(record)
+        carries = frozenset(self._carriers.held)
+        own = fleet.members.own
+        if own.carries != carries:
+            fleet.fleet.tell(replace(own, carries=carries))
+
+    def _may_carry(self, group: GroupName, fleet: peers.FleetParts) -> bool:
+        # Two carriers of a group would open twice the connections that its
+        # endpoints allow: a node out of touch carries nothing, and a new
+        # carrier waits until the one before has closed its own.
+        now = asyncio.get_running_loop().time()
+        return (
+            self._carrier_of(group) == self._vm
+            and fleet.members.in_touch(now)
+            and not holders_of(group, fleet.members.all)
+        )
 
     def _parts(self) -> CarryingParts:
         return CarryingParts(
@@ -238,7 +297,8 @@
         return self._holdings.records.get(group.name) or first_record(group)
 
     def _announce(self, record: GroupRecord) -> None:
-        self._holdings.hear_records([record])
+        if self._fleet is not None:
+            peers.announce(self._fleet.records, record)
 
     def _ranks(self, group: GroupName) -> list[VmId]:
         region = self._holdings.configuration.site.region
--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/status.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/status.py
@@ -11,6 +11,7 @@
     write_refusal,
 )
 from cowslipfork.ids import EndpointId, GroupName, VmId
+from cowslipfork.membership import Members, MemberState, Report
 from cowslipfork.wire import admin_pb2
 from cowslipfork_proxy.carrier import GroupCarrier
 
@@ -84,6 +85,38 @@
     )
 
 
+def node_statuses(members: Members) -> Iterator[admin_pb2.NodeStatus]:
+    """Describes every VM of the fleet, this one first.
+
+    Args:
+        members: VMs as this node sees them.
+
+    Yields:
+        A description of each VM. Revisions of VMs without a link to this one
+        are this node's own, unless a neighbour of theirs told otherwise.
+    """
+    revision = members.own.revision
+    behind = members.laggards(revision)
+    yield _node_status(members.own, members.own.state, revision)
+    for vm, member in members.all.items():
+        known = member.report.revision if vm in behind else revision
+        yield _node_status(member.report, member.state, known)
+
+
+def _node_status(
+    report: Report,
+    state: MemberState,
+    revision: int,
+) -> admin_pb2.NodeStatus:
+    return admin_pb2.NodeStatus(
+        vm=report.vm,
+        state=state.value,
+        revision=revision,
+        failure_domain=report.place.failure_domain,
+        relay=report.relay,
+    )
+
+
 def impediments(carried: Mapping[GroupName, GroupCarrier]) -> Iterator[str]:
     """Says what cannot go on now.
 
--- a/packages/cowslipfork/src/cowslipfork/membership/fleet.py
+++ b/packages/cowslipfork/src/cowslipfork/membership/fleet.py
@@ -59,6 +59,7 @@
         self._told = 0
         self._planned = -1
         self._list_changed = False
+        self._touch_watchers: list[Callable[[], None]] = []
         members.watch(self._on_member)
         holdings.watch(self._on_record)
 
@@ -93,6 +94,14 @@
         fresh = age is not None and age <= STORE_FRESH
         return fresh or self._members.in_touch(now)
 
+    def watch_touch(self, watcher: Callable[[], None]) -> None:
+        """Calls back when the node gains or loses its majority.
+
+        Args:
+            watcher: called after the change.
+        """
+        self._touch_watchers.append(watcher)
+
     def tell(self, own: Report) -> None:
         """Changes what the node tells about itself, at once.
 
@@ -156,15 +165,23 @@
             self._list_changed = False
             listed = listed_vms(self._holdings, self._region_of)
             self._members.list_vms(listed, now)
+        touched = self._members.in_touch(now)
         if self._members.tick(now):
             _logger.warning('event=woke_late')
             await self._links.reopen()
+        if self._members.in_touch(now) is not touched:
+            self._note_touch(in_touch=not touched)
         self._members.refresh(self.store_age(now))
         await self._links.close_extra(now)
         if self._planned != self._members.changes.last:
             self._planned = self._members.changes.last
             self._plan(now)
 
+    def _note_touch(self, *, in_touch: bool) -> None:
+        _logger.info('event=in_touch value=%s', in_touch)
+        for watcher in self._touch_watchers:
+            watcher()
+
     def _plan(self, now: float) -> None:
         present = [
             member
--- a/packages/cowslipfork/src/cowslipfork/membership/links.py
+++ b/packages/cowslipfork/src/cowslipfork/membership/links.py
@@ -10,7 +10,7 @@
 
 from cowslipfork.ids import VmId
 from cowslipfork.membership.link import Link
-from cowslipfork.membership.member import MemberState, Proof
+from cowslipfork.membership.member import Member, MemberState, Proof
 from cowslipfork.membership.members import Members
 from cowslipfork.membership.port import (
     PeerRefused,
@@ -182,9 +182,22 @@
             if vm in self._open:
                 delays = backoff_delays(FIRST_REDIAL, LONGEST_REDIAL)
             elif member:
-                await self._dial(member.report.address)
+                await self._dial_member(member)
             await asyncio.sleep(FIRST_REDIAL + next(delays))
 
+    async def _dial_member(self, member: Member) -> None:
+        try:
+            stream = await self._peers.exchange(member.report.address)
+        except PeerRefused:
+            # A VM that others hear is not gone because one cannot reach it.
+            unheard = not member.report.incarnation
+            if unheard or member.report.state is not MemberState.LIVE:
+                self._lose(member.report.vm, member.report.incarnation)
+        except PeerSilent:
+            return
+        else:
+            await self.hold(stream)
+
     async def _dial(self, address: str) -> None:
         with suppress(PeerSilent):
             await self.hold(await self._peers.exchange(address))
