Carrier: one choice of candidates and one timer per read

Cause, by profile of one proxy under point reads: candidates() ran four times a read (24% of the time), three asyncio timers were set per read. Now the choice is reused within 5 ms, an idle bound connection is lent without a timer, and execute and first fetch share one.

--- a/packages/cowslipfork-lab/src/cowslipfork_lab/cluster/node.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/cluster/node.py
@@ -58,9 +58,12 @@
             'site': site,
             'host': LOOPBACK,
             'store': f'{LOOPBACK}:{store_port}',
-            'peers': ', '.join(f'{LOOPBACK}:{port}' for port in peer_ports),
             **{key: str(port) for key, port in asdict(self.ports).items()},
         }
+        if peer_ports:
+            parser['node']['peers'] = ', '.join(
+                f'{LOOPBACK}:{port}' for port in peer_ports
+            )
         path = directory / f'{self.vm}.ini'
         with path.open('w') as settings:
             parser.write(settings)
--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/carrier/_reads.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/carrier/_reads.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+import asyncio
+from collections.abc import Container, Sequence
 from dataclasses import dataclass, field
-from itertools import takewhile
+from typing import Final
 
 from expression import Result
 
@@ -24,6 +25,9 @@
 from cowslipfork_proxy.carrier._writes import refusal, remaining
 from cowslipfork_proxy.endpoints import ConnectionBroken, EndpointRefused
 
+#: Seconds for which a proof of age is used again.
+_PROOF_KEPT: Final = 0.005
+
 
 @dataclass(frozen=True, slots=True)
 class Read:
@@ -91,49 +95,41 @@
     grants: Grants,
 ) -> Wanted:
     """Offers endpoints to the queue, asked again as slots become free."""
+    loop = asyncio.get_running_loop()
+    proved_at = loop.time()
+    offered = _preferred(found, read.avoided)
 
-    def proved() -> Iterable[Candidate]:
+    def offer() -> Sequence[EndpointId]:
+        nonlocal offered, proved_at
         # A proved age grows while the read waits; a reached floor stays.
-        if need.max_age is None:
-            return found
-        return candidates(
-            tracker,
-            need,
-            grants.queue.load,
-            primary_reads=read.kind.primary_reads,
-        )
+        if need.max_age is not None and loop.time() > proved_at + _PROOF_KEPT:
+            proved_at = loop.time()
+            again = candidates(
+                tracker,
+                need,
+                grants.queue.load,
+                primary_reads=read.kind.primary_reads,
+            )
+            offered = _preferred(again, read.avoided)
+        return tuple(offered)
 
-    def offered() -> list[Candidate]:
-        return _preferred(
-            [item for item in proved() if item.endpoint not in read.avoided],
-        )
-
-    return Wanted(
-        read.request_class,
-        lambda: tuple(item.endpoint for item in offered()),
-        _term_of(offered, tracker),
-        read.request.deadline,
-    )
-
-
-def _term_of(
-    offered: Callable[[], list[Candidate]],
-    tracker: Tracker,
-) -> Callable[[EndpointId], Term]:
     def term_of(endpoint: EndpointId) -> Term:
-        terms = {item.endpoint: item.term for item in offered()}
-        return terms.get(endpoint, tracker.record.term)
+        return offered[endpoint]
 
-    return term_of
+    return Wanted(read.request_class, offer, term_of, read.request.deadline)
 
 
-def _preferred(offered: list[Candidate]) -> list[Candidate]:
+def _preferred(
+    found: Sequence[Candidate],
+    avoided: Container[EndpointId],
+) -> dict[EndpointId, Term]:
     """Keeps the best standing only: a read waits for a replica's slot.
 
     Slots of the primary are left to writes while a replica may answer.
     """
-    best = [item.standing for item in offered[:1]]
-    return list(takewhile(lambda item: item.standing in best, offered))
+    able = [item for item in found if item.endpoint not in avoided]
+    best = able[0].standing if able else None
+    return {item.endpoint: item.term for item in able if item.standing is best}
 
 
 async def _stream(read: Read, grant: Grant) -> Outcome[Answer]:
--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/endpoints/connection.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/endpoints/connection.py
@@ -192,19 +192,20 @@
             EndpointRefused: the endpoint answered with an error.
         """
         cursor = self._raw.cursor(SSCursor)
+        first: list[Row] = []
         async with self._guarded(timeout):
             await cursor.execute(sql)
+            if cursor.description is not None:
+                first = list(await cursor.fetchmany(ROWS_PER_BATCH))
         if cursor.description is None:
             return Answer(
                 affected_rows=cursor.rowcount,
                 last_insert_id=cursor.lastrowid,
                 endpoint=self._endpoint,
             )
-        async with self._guarded(timeout):
-            first = await cursor.fetchmany(ROWS_PER_BATCH)
         return Answer(
             columns=_columns(cursor),
-            rows=self._rest(cursor, list(first), timeout),
+            rows=self._rest(cursor, first, timeout),
             endpoint=self._endpoint,
         )
 
--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/endpoints/pool.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/endpoints/pool.py
@@ -86,8 +86,7 @@
             PoolClosed: the pool was closed.
             TimeoutError: all connections stayed lent.
         """
-        async with asyncio.timeout(timeout):
-            await self._room.acquire()
+        await self._enter(timeout)
         connection: EndpointConnection | None = None
         bound = False
         try:
@@ -139,6 +138,14 @@
         for connection in self._lent:
             connection.close()
 
+    async def _enter(self, timeout: float) -> None:
+        if self._room.locked():
+            async with asyncio.timeout(timeout):
+                await self._room.acquire()
+        else:
+            # There is room: no wait, and no cost of a timer.
+            await self._room.acquire()
+
     async def _take(self, timeout: float) -> EndpointConnection:
         if self._closed:
             raise PoolClosed(self._endpoint.name)
