--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/callers/__init__.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/callers/__init__.py
@@ -3,7 +3,13 @@
 from cowslipfork_proxy.callers.server import (
     CallerServer,
     CallerSettings,
+    CertificateUnusable,
     serve_callers,
 )
 
-__all__ = ('CallerServer', 'CallerSettings', 'serve_callers')
+__all__ = (
+    'CallerServer',
+    'CallerSettings',
+    'CertificateUnusable',
+    'serve_callers',
+)
--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/callers/connection.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/callers/connection.py
@@ -61,6 +61,7 @@
             options: of the library's connection.
         """
         super().__init__(**options)
+        self.status_flags = _STATUS[False, True]
         self.prepared = PreparedStatements()
         self.results_charset = CharacterSet.utf8mb4
         self._statement_charset = CharacterSet.utf8mb4
@@ -108,6 +109,7 @@
             ConnectionClosed: the library has told the caller that it may not.
         """
         self.session.username = None
+        self.stream.login = False
         await super().authenticate(*args, **options)
         if self.session.username is None:
             raise ConnectionClosed
@@ -187,7 +189,8 @@
             retry_after_ms=_DRAINING_RETRY_MS,
             detail='connect again',
         )
-        self.stream.write_last(make_error(outcome_failure(farewell)))
+        packet = make_error(outcome_failure(farewell))
+        self.stream.write_last(packet, sequence=1)
         if self._serving is not None:
             loop = asyncio.get_running_loop()
             self._lingering = loop.call_later(LINGER, self._serving.cancel)
--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/callers/literals.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/callers/literals.py
@@ -5,33 +5,11 @@
 import math
 import re
 
+from cowslipfork.requests.shape import quote
 from cowslipfork_proxy.callers.failures import Fault, fault
 
 _NUMBER = re.compile(r'[-+]?(?:\d+(?:\.\d*)?|\.\d+)(?:[eE][-+]?\d+)?', re.ASCII)
 
-_ESCAPES = str.maketrans(
-    {
-        '\\': r'\\',
-        "'": r'\'',
-        '\0': r'\0',
-        '\n': r'\n',
-        '\r': r'\r',
-        '\x1a': r'\Z',
-    },
-)
-
-
-def quote(text: str) -> str:
-    """Writes a string literal.
-
-    Args:
-        text: its content.
-
-    Returns:
-        The literal with its quotes.
-    """
-    return f"'{text.translate(_ESCAPES)}'"
-
 
 def text_literal(content: bytes) -> str:
     """Writes a text; some drivers declare any bytes as text.
--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/callers/server.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/callers/server.py
@@ -158,7 +158,7 @@
                     Fault.TOO_MANY_CONNECTIONS,
                     'Too many connections',
                 )
-                connection.stream.write_last(make_error(failure))
+                connection.stream.write_last(make_error(failure), sequence=0)
                 return
             self._connections[connection] = task
             try:
--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/callers/session.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/callers/session.py
@@ -8,8 +8,8 @@
 from mysql_mimic.session import BaseSession
 
 from cowslipfork.configuration import Configuration
-from cowslipfork.ids import GroupName, Mark, TeamName
-from cowslipfork.outcomes import Done, NotRun, Outcome, Reason, Unknown
+from cowslipfork.ids import TeamName
+from cowslipfork.outcomes import Done, NotRun, Outcome, Reason
 from cowslipfork.requests import (
     NO_ATTRIBUTES,
     Answer,
@@ -27,6 +27,7 @@
     fault,
     outcome_failure,
 )
+from cowslipfork_proxy.callers.marks import CallerMarks
 from cowslipfork_proxy.callers.transaction import (
     CallerTransaction,
     TransactionState,
@@ -61,8 +62,7 @@
         self._run = run
         self._configuration = configuration
         self._transaction = CallerTransaction()
-        self._marks: dict[GroupName, Mark] = {}
-        self._in_doubt: set[GroupName] = set()
+        self._marks = CallerMarks()
         self._admission: Admission | None = None
         self._preset = NO_ATTRIBUTES
 
@@ -74,7 +74,7 @@
     @property
     def autocommit(self) -> bool:
         """Whether each statement outside a transaction stands alone."""
-        return bool(self.variables.get('autocommit'))
+        return self.variables.autocommit
 
     def admission(self) -> Admission:
         """Checks the team's right to the database against the configuration.
@@ -138,8 +138,7 @@
         Raises:
             CallerFailure: the session spans too many groups.
         """
-        marks = _merged(self._preset.marks or {}, self._marks)
-        encoded = encode_token(marks)
+        encoded = encode_token(self._marks.joined(self._preset.marks or {}))
         if encoded.is_error():
             raise _bad_request(str(encoded.error))
         token: str = encoded.ok
@@ -201,7 +200,6 @@
         self.variables.forget()
         self._preset = NO_ATTRIBUTES
         self._marks.clear()
-        self._in_doubt.clear()
         self.last_insert_id = 0
 
     def _check_place(self, statement: Statement) -> None:
@@ -309,7 +307,7 @@
             team=admission.team.name,
             deadline=now + admission.seconds(attributes),
             session=attributes.session,
-            marks=self._marks_for(admission.group, attributes),
+            marks=self._marks.known_to(admission.group, attributes),
             request_id=attributes.request_id,
             transaction=self._transaction.identity,
         )
@@ -318,55 +316,11 @@
             outcome = await self._run(request)
         finally:
             self.reading = False
-        self._remember(admission.group, outcome)
+        self._marks.note(admission.group, outcome)
+        if isinstance(outcome, Done) and outcome.answer.last_insert_id:
+            self.last_insert_id = outcome.answer.last_insert_id
         return outcome
 
-    def _marks_for(
-        self,
-        group: GroupName,
-        attributes: Attributes,
-    ) -> dict[GroupName, Mark] | None:
-        """Marks that this session is known to have written.
-
-        A session that gives only its id may have written elsewhere, so what
-        this connection wrote is not all of it. Neither is it after a write
-        whose outcome is unknown.
-        """
-        if group in self._in_doubt:
-            return None
-        if attributes.marks is not None:
-            return _merged(attributes.marks, self._marks)
-        return None if attributes.session else dict(self._marks)
-
-    def _remember(self, group: GroupName, outcome: Outcome[Answer]) -> None:
-        if isinstance(outcome, Unknown):
-            self._in_doubt.add(group)
-        if not isinstance(outcome, Done):
-            return
-        answer = outcome.answer
-        if answer.last_insert_id:
-            self.last_insert_id = answer.last_insert_id
-        if answer.mark is not None:
-            self._in_doubt.discard(group)
-            self._marks[group] = max(
-                answer.mark,
-                self._marks.get(group, answer.mark),
-            )
-
-
-def _merged(
-    left: Mapping[GroupName, Mark],
-    right: Mapping[GroupName, Mark],
-) -> dict[GroupName, Mark]:
-    return {
-        group: max(
-            mark
-            for mark in (left.get(group), right.get(group))
-            if mark is not None
-        )
-        for group in left.keys() | right.keys()
-    }
-
 
 def _checked(raw: Mapping[str, object]) -> Attributes:
     checked = check_attributes(raw)
--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/callers/stream.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/callers/stream.py
@@ -15,9 +15,14 @@
 _HEADER_BYTES = 4
 _LENGTH_MASK = 0xFFFFFF
 _SEQUENCE_SHIFT = 24
-_FIRST_ANSWER = 1
 _SKIP_BYTES = 65_536
 
+#: A longer first packet holds a user name, and a shorter one asks for TLS.
+_TLS_REQUEST_BYTES = 32
+
+#: The library looks for the ends of user, database and plugin without end.
+_TERMINATORS = bytes(3)
+
 
 class PacketTooLong(CallerFailure):
     """A packet over the limit; it was passed over, so reading goes on."""
@@ -83,6 +88,7 @@
         '_writer',
         'drain',
         'limit',
+        'login',
         'reset_seq',
         'write',
         'write_many',
@@ -107,6 +113,7 @@
         self._reader = reader
         self._writer = writer
         self.limit = limit
+        self.login = True
         self.write = library.write
         self.write_many = library.write_many
         self.write_text_rows = library.write_text_rows
@@ -126,15 +133,16 @@
         """
         self._reader.gone = tell
 
-    def write_last(self, packet: bytes) -> None:
-        """Writes an answer to the next command and ends the sending side.
+    def write_last(self, packet: bytes, sequence: int) -> None:
+        """Writes a packet out of turn and ends the sending side.
 
         Args:
             packet: its payload.
+            sequence: its number; 1 answers the next command.
         """
-        sequence = _FIRST_ANSWER << _SEQUENCE_SHIFT
-        head = (len(packet) | sequence).to_bytes(_HEADER_BYTES, 'little')
-        self._writer.write(head + packet)
+        head = len(packet) | sequence << _SEQUENCE_SHIFT
+        header = head.to_bytes(_HEADER_BYTES, 'little')
+        self._writer.write(header + packet)
         if self._writer.can_write_eof():
             self._writer.write_eof()
 
@@ -149,9 +157,12 @@
             PacketTooLong: it was passed over.
         """
         length = await self._header()
-        if length < _LENGTH_MASK and length <= self.limit:
-            return await self._exactly(length)
-        return await self._long(length)
+        if length == _LENGTH_MASK or length > self.limit:
+            return await self._long(length)
+        packet = await self._exactly(length)
+        if self.login and length > _TLS_REQUEST_BYTES:
+            return packet + _TERMINATORS
+        return packet
 
     async def start_tls(self, context: SSLContext) -> None:
         """Goes on under TLS.
--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/callers/variables.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/callers/variables.py
@@ -177,16 +177,20 @@
             )
         return self.get(name)
 
+    @property
+    def autocommit(self) -> bool:
+        """Whether each statement stands alone."""
+        return bool(self._values.get('autocommit', True))
+
     @property
     def statement_charset(self) -> CharacterSet:
         """Character set of statements."""
-        return CharacterSet[str(self.get('character_set_client'))]
+        return _character_set(self._values.get('character_set_client'))
 
     @property
     def results_charset(self) -> CharacterSet:
         """Character set of results."""
-        name = self.get('character_set_results')
-        return CharacterSet[str(name or 'utf8mb4')]
+        return _character_set(self._values.get('character_set_results'))
 
     def attribute_values(self) -> dict[str, Setting]:
         """Query attributes that were set as variables.
@@ -205,6 +209,10 @@
         return iter((name, self.get(name)) for name in sorted(_DEFAULTS))
 
 
+def _character_set(name: Setting) -> CharacterSet:
+    return CharacterSet[str(name)] if name else CharacterSet.utf8mb4
+
+
 def _checked(name: str, setting: str) -> Setting:
     lowered = setting.lower()
     if name in _SWITCHES:
--- a/packages/cowslipfork-proxy/tests/callers/conftest.py
+++ b/packages/cowslipfork-proxy/tests/callers/conftest.py
@@ -1,6 +1,8 @@
 from __future__ import annotations
 
-from collections.abc import Callable
+import asyncio
+from collections import defaultdict
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
 import pytest
@@ -76,10 +78,19 @@
     answers: dict[str, Callable[[Request], Outcome[Answer]]] = field(
         default_factory=dict,
     )
+    waits: dict[str, Callable[[Request], Awaitable[None]]] = field(
+        default_factory=dict,
+    )
+    heard: defaultdict[str, asyncio.Event] = field(
+        default_factory=lambda: defaultdict(asyncio.Event),
+    )
     requests: list[Request] = field(default_factory=list)
 
     async def __call__(self, request: Request) -> Outcome[Answer]:
         self.requests.append(request)
+        self.heard[request.sql].set()
+        if request.sql in self.waits:
+            await self.waits[request.sql](request)
         return self.answers.get(request.sql, nothing)(request)
 
     def reply(self, sql: str, outcome: Outcome[Answer]) -> None:
--- a/packages/cowslipfork/src/cowslipfork/requests/_patterns.py
+++ b/packages/cowslipfork/src/cowslipfork/requests/_patterns.py
@@ -8,7 +8,7 @@
     (re.compile(pattern), why)
     for pattern, why in (
         ('/[*][!m]', 'executable comments are not supported'),
-        (r'["\']|/[*]', 'a quote or a comment is not closed'),
+        (r'["\'`]|/[*]', 'a quote or a comment is not closed'),
         (';', 'several statements in one request are not supported'),
         (
             r'(?<!@)@(?!@)',
--- a/packages/cowslipfork/src/cowslipfork/requests/shape.py
+++ b/packages/cowslipfork/src/cowslipfork/requests/shape.py
@@ -23,6 +23,17 @@
     dict(zip('0bnrtZ', '\0\b\n\r\t\x1a', strict=True)),
 )
 
+_ESCAPED = str.maketrans(
+    {
+        '\\': r'\\',
+        "'": r'\'',
+        '\0': r'\0',
+        '\n': r'\n',
+        '\r': r'\r',
+        '\x1a': r'\Z',
+    },
+)
+
 
 def _mask(found: re.Match[str]) -> str:
     token = found.group()
@@ -91,3 +102,15 @@
         return _ESCAPES.get(escaped, escaped)
 
     return _ESCAPE.sub(resolve, literal[1:-1])
+
+
+def quote(text: str) -> str:
+    """Writes a string literal.
+
+    Args:
+        text: its content.
+
+    Returns:
+        The literal with its quotes.
+    """
+    return f"'{text.translate(_ESCAPED)}'"
