--- a/packages/cowslipfork/src/cowslipfork/configuration/_checks.py
+++ b/packages/cowslipfork/src/cowslipfork/configuration/_checks.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import itertools
-from collections.abc import Callable, Hashable, Iterator
+from collections import defaultdict
+from collections.abc import Callable, Collection, Hashable, Iterator
 from typing import Any, TypeAlias
 
 from cowslipfork.configuration._build import Built, nearest
@@ -41,16 +42,18 @@
 
 
 def _references(built: list[Built]) -> Iterator[Problem]:
+    names: dict[str, dict[str, None]] = defaultdict(dict)
+    for section in built:
+        names[section.schema.heading][section.name] = None
     for section in built:
         for key in section.schema.keys:
             if key.refers and key.field_name in section.fields:
-                known = [other.name for other in _of(built, key.refers)]
                 yield from _unknown(
                     section,
                     key.name,
                     key.refers,
                     section.fields[key.field_name],
-                    known,
+                    names[key.refers],
                 )
 
 
@@ -59,7 +62,7 @@
     key: str,
     heading: str,
     named: str | tuple[str, ...],
-    known: list[str],
+    known: Collection[str],
 ) -> Iterator[Problem]:
     wanted = (named,) if isinstance(named, str) else named
     for name in wanted:
@@ -72,7 +75,7 @@
     site = next(iter(_of(built, 'site')), None)
     if site is None or 'failure_domains' not in site.fields:
         return
-    known = list(site.fields['failure_domains'])
+    known = site.fields['failure_domains']
     for endpoint in _of(built, 'endpoint'):
         domain = endpoint.fields.get('failure_domain')
         if domain is not None:
--- a/packages/cowslipfork/src/cowslipfork/configuration/_ini.py
+++ b/packages/cowslipfork/src/cowslipfork/configuration/_ini.py
@@ -34,9 +34,20 @@
     keys: dict[str, Sourced] = field(default_factory=dict)
 
 
-def read_ini(
-    text: str, file: str
-) -> tuple[dict[str, RawSection], list[Problem]]:
+@dataclass(frozen=True, slots=True)
+class IniFile:
+    """A file's sections by heading, and its mistakes of syntax.
+
+    Attributes:
+        name: for problems.
+    """
+
+    name: str
+    sections: dict[str, RawSection]
+    problems: list[Problem]
+
+
+def read_ini(text: str, file: str) -> IniFile:
     """Reads a file's sections, whatever mistakes it has.
 
     ``configparser`` stops at the first repeated section or key; the line is
@@ -47,7 +58,7 @@
         file: name for problems.
 
     Returns:
-        Sections by heading, and the mistakes found.
+        Sections and the mistakes found.
     """
     lines = text.splitlines()
     problems: list[Problem] = []
@@ -58,8 +69,8 @@
         except configparser.Error as error:
             problems.extend(_repair(error, lines, file))
             continue
-        return _sections(parser, file), problems
-    return {}, problems
+        return IniFile(file, _sections(parser, file), problems)
+    return IniFile(file, {}, problems)
 
 
 def merge(
--- a/packages/cowslipfork/src/cowslipfork/configuration/difference.py
+++ b/packages/cowslipfork/src/cowslipfork/configuration/difference.py
@@ -95,7 +95,7 @@
 
 
 def _settings(text: str, file: str) -> list[str]:
-    sections, _ = read_ini(text, file)
+    sections = read_ini(text, file).sections
     return [
         line
         for heading in sorted(sections)
--- a/packages/cowslipfork/src/cowslipfork/configuration/node.py
+++ b/packages/cowslipfork/src/cowslipfork/configuration/node.py
@@ -137,10 +137,10 @@
     Returns:
         The settings, or every problem at once.
     """
-    sections, problems = read_ini(text, file)
+    ini = read_ini(text, file)
     builder = Builder((NODE,))
-    built = builder.build(sections, {})
-    found = (*problems, *builder.problems)
+    built = builder.build(ini.sections, {})
+    found = (*ini.problems, *builder.problems)
     if found:
         return Error(Problems(found))
     return Ok(built[0].made)
--- a/packages/cowslipfork/src/cowslipfork/configuration/parser.py
+++ b/packages/cowslipfork/src/cowslipfork/configuration/parser.py
@@ -8,7 +8,7 @@
 
 from cowslipfork.configuration._build import Builder, Built
 from cowslipfork.configuration._checks import check_all
-from cowslipfork.configuration._ini import merge, read_ini
+from cowslipfork.configuration._ini import IniFile, merge, read_ini
 from cowslipfork.configuration.model import Configuration, Failover, Limits
 from cowslipfork.configuration.problems import Problem, Problems
 from cowslipfork.configuration.tables import CONFIGURATION
@@ -30,15 +30,34 @@
     Returns:
         The configuration, or every problem at once.
     """
-    overlay_file = f'overlay {site}'
-    base, problems = read_ini(base_text, 'base')
-    overlay, overlay_problems = read_ini(overlay_text, overlay_file)
+    overlay = read_ini(overlay_text, f'overlay {site}')
+    return parse_files(read_ini(base_text, 'base'), overlay, site)
+
+
+def parse_files(
+    base: IniFile,
+    overlay: IniFile,
+    site: SiteName,
+) -> Result[Configuration, Problems]:
+    """Reads a site's configuration from files whose syntax was read.
+
+    Args:
+        base: the base file.
+        overlay: the site's overlay.
+        site: the site that the overlay is for.
+
+    Returns:
+        The configuration, or every problem at once.
+    """
     builder = Builder(CONFIGURATION)
-    built = builder.build(merge(base, overlay), {'site': {'name': site}})
+    built = builder.build(
+        merge(base.sections, overlay.sections),
+        {'site': {'name': site}},
+    )
     found = [
-        *problems,
-        *overlay_problems,
-        *(_placed(problem, overlay_file) for problem in builder.problems),
+        *base.problems,
+        *overlay.problems,
+        *(_placed(problem, overlay.name) for problem in builder.problems),
         *check_all(built),
     ]
     if found:
