--- a/packages/cowslipfork/tests/configuration/test_accept.py
+++ b/packages/cowslipfork/tests/configuration/test_accept.py
@@ -58,6 +58,7 @@
     for revision in range(3):
         accepted = await log.accept(change(revision, 1000 + revision))
         assert accepted.ok == Accepted(revision + 1)
+    assert store.calls == {'get': 3, 'swap': 3}
     assert (await log.current()).revision == 3
     page = await query_audit(store, AuditQuery())
     assert [record.revision for record in page.records] == [3, 2, 1]
