Lab: open-loop load tool with faults, figures and history check

Latency counts from when a request was due.

Two faults of mine, found by running: asdict breaks a Counter, so endings are a dict; the endpoint stand-in refused any password, which direct callers send.

--- a/packages/cowslipfork-lab/src/cowslipfork_lab/cli.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/cli.py
@@ -13,10 +13,13 @@
 import uvloop
 
 from cowslipfork_lab.endpoint import EndpointSettings, run_endpoint
+from cowslipfork_lab.load.command import run_load
 from cowslipfork_lab.relay import run_relay
 from cowslipfork_lab.store import run_store
 
-app = typer.Typer(no_args_is_help=True, add_completion=False)
+app = typer.Typer(
+    no_args_is_help=True, add_completion=False, pretty_exceptions_enable=False
+)
 
 _PRIMARY_HELP = 'host:port of the first primary to follow; self to be it.'
 
@@ -72,6 +75,9 @@
     run_until_signal(run_relay())
 
 
+app.command('load')(run_load)
+
+
 def run_until_signal(work: Coroutine[Any, Any, None]) -> None:
     """Runs a server until SIGTERM or ctrl-C.
 
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/cluster/cluster.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/cluster/cluster.py
@@ -4,29 +4,32 @@
 
 import asyncio
 import sys
-from collections.abc import Awaitable, Callable
-from itertools import cycle, islice
+from collections.abc import Sequence
 from pathlib import Path
 from types import TracebackType
-from typing import Self
+from typing import Any, Self
 
 from cowslipfork.configuration import Endpoint
-from cowslipfork.ids import EndpointId, FailureDomain, GroupName, VmId
+from cowslipfork.groups import EndpointStatus
+from cowslipfork.ids import EndpointId, GroupName
 from cowslipfork.store import EtcdStore
-from cowslipfork.wire import records_pb2
 from cowslipfork_lab.cluster import controls
-from cowslipfork_lab.cluster.node import Node, NodePorts
+from cowslipfork_lab.cluster.node import Node, nodes_of
 from cowslipfork_lab.cluster.plan import LOOPBACK, Plan
-from cowslipfork_lab.cluster.platform import PlatformList, accept_first
+from cowslipfork_lab.cluster.platform import (
+    PlatformList,
+    accept_first,
+    entry_of,
+)
 from cowslipfork_lab.cluster.ports import free_ports
-from cowslipfork_lab.cluster.processes import Processes
+from cowslipfork_lab.cluster.processes import Processes, accepts
 from cowslipfork_lab.relay import Passage, Rule
 from cowslipfork_lab.relay.rules import ANY
 
 STORE = 'store'
+Rows = Sequence[Sequence[Any]]
 _RELAY = 'relay'
 _PEERS_ASKED = 3
-_PORTS_OF_NODE = 3
 
 
 class Cluster:
@@ -54,7 +57,7 @@
         self._relay: controls.RelayControl | None = None
         self._ports: dict[str, int] = {}
         self._control_ports: dict[str, int] = {}
-        self._nodes = _nodes(plan)
+        self._nodes = nodes_of(plan)
         self._store: EtcdStore | None = None
         self._platform: PlatformList | None = None
 
@@ -143,7 +146,7 @@
         child = await self._processes.start(node.vm, command)
         await self._know(child.pid, node.vm)
         port = node.ports.caller_port
-        await self._processes.ready(node.vm, _accepts(port))
+        await self._processes.ready(node.vm, accepts(port))
 
     async def stop(self) -> dict[str, int]:
         """Stops every process.
@@ -211,6 +214,20 @@
             return await controls.store_counts(port)
         return await controls.endpoint_counters(port)
 
+    async def status(self, name: EndpointId) -> EndpointStatus | None:
+        """Reads the status of an endpoint; None if it has ended."""
+        if not self.running(name):
+            return None
+        return await controls.endpoint_status(self._control_ports[name])
+
+    async def select(self, name: EndpointId, sql: str) -> Rows:
+        """Reads from one endpoint, past all nodes."""
+        return await controls.query(self._ports[name], sql)
+
+    def running(self, name: str) -> bool:
+        """Tells whether a process runs."""
+        return self._processes[name].running
+
     def pid(self, name: str) -> int:
         """Gives the pid of a process."""
         return self._processes[name].pid
@@ -222,7 +239,7 @@
     async def _start_store(self) -> None:
         port = free_ports(1)[0]
         child = await self._processes.start_lab(STORE, STORE, f'--port={port}')
-        await self._processes.ready(STORE, _accepts(port))
+        await self._processes.ready(STORE, accepts(port))
         self._control_ports[STORE] = port
         self._ports[STORE] = await self._stand_before(STORE, port, child.pid)
         self._store = EtcdStore(LOOPBACK, port)
@@ -250,7 +267,7 @@
             f'--primary={primary}',
             f'--journal={journal}',
         )
-        await self._processes.ready(endpoint.name, _accepts(control_port))
+        await self._processes.ready(endpoint.name, accepts(control_port))
         self._control_ports[endpoint.name] = control_port
         self._ports[endpoint.name] = await self._stand_before(
             endpoint.name,
@@ -264,13 +281,13 @@
             if self._relay:
                 port = await self._relay.listen(node.vm, port)
             await self.platform.put_vm(
-                _entry(node.vm, node.failure_domain, port),
+                entry_of(node.vm, node.failure_domain, port),
             )
         for group in self._plan.group_names:
             for endpoint in self._plan.endpoints(group):
                 port = self._ports[endpoint.name]
                 await self.platform.put_endpoint(
-                    _entry(endpoint.name, endpoint.failure_domain, port),
+                    entry_of(endpoint.name, endpoint.failure_domain, port),
                 )
 
     async def _stand_before(self, name: str, port: int, pid: int) -> int:
@@ -287,46 +304,3 @@
         assert self._relay is not None
         await self._relay.rule(name, other, rule)
         await self._relay.rule(other, name, rule)
-
-
-def _nodes(plan: Plan) -> tuple[Node, ...]:
-    domains = cycle(plan.configuration.site.failure_domains)
-    ports = iter(free_ports(plan.nodes * _PORTS_OF_NODE))
-    return tuple(
-        Node(
-            VmId(f'proxy-{number}'),
-            domain,
-            NodePorts(*islice(ports, _PORTS_OF_NODE)),
-        )
-        for number, domain in zip(
-            range(1, plan.nodes + 1),
-            domains,
-            strict=False,
-        )
-    )
-
-
-def _entry(
-    name: str,
-    domain: FailureDomain,
-    port: int,
-) -> records_pb2.PlatformEntry:
-    return records_pb2.PlatformEntry(
-        name=name,
-        failure_domain=domain,
-        host=LOOPBACK,
-        port=port,
-        state=records_pb2.VM_STATE_LIVE,
-    )
-
-
-def _accepts(port: int) -> Callable[[], Awaitable[bool]]:
-    async def ask() -> bool:
-        try:
-            _reader, writer = await asyncio.open_connection(LOOPBACK, port)
-        except OSError:
-            return False
-        writer.close()
-        return True
-
-    return ask
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/cluster/controls.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/cluster/controls.py
@@ -9,10 +9,21 @@
 import aetcd
 import asyncmy
 
+from cowslipfork.groups import EndpointRole, EndpointStatus
+from cowslipfork.ids import Mark, Position, Term
 from cowslipfork_lab.cluster.plan import LOOPBACK
 from cowslipfork_lab.cluster.process import ChildProcess
 from cowslipfork_lab.relay import Rule
 
+_STATUS_COLUMNS = (
+    'endpoint',
+    'role',
+    'term',
+    'log_term',
+    'position',
+    'leaving',
+)
+
 
 async def query(port: int, sql: str) -> Sequence[Sequence[Any]]:
     """Runs one statement on a connection of its own.
@@ -88,6 +99,26 @@
     return json.loads(found.value)
 
 
+async def endpoint_status(port: int) -> EndpointStatus:
+    """Reads the status of an endpoint, whatever its faults.
+
+    Args:
+        port: control port.
+
+    Returns:
+        Its status.
+    """
+    rows = await query(port, 'SHOW GROUP STATUS')
+    row = dict(zip(_STATUS_COLUMNS, rows[0], strict=True))
+    return EndpointStatus(
+        row['endpoint'],
+        EndpointRole(row['role']),
+        Term(row['term']),
+        Mark(Term(row['log_term']), Position(row['position'])),
+        bool(row['leaving']),
+    )
+
+
 class RelayControl:
     """Commands to the relay process."""
 
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/cluster/node.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/cluster/node.py
@@ -4,10 +4,14 @@
 
 import configparser
 from dataclasses import asdict, dataclass
+from itertools import cycle, islice
 from pathlib import Path
 
 from cowslipfork.ids import FailureDomain, SiteName, VmId
-from cowslipfork_lab.cluster.plan import LOOPBACK
+from cowslipfork_lab.cluster.plan import LOOPBACK, Plan
+from cowslipfork_lab.cluster.ports import free_ports
+
+_PORTS_OF_NODE = 3
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,3 +69,21 @@
         with path.open('w') as settings:
             parser.write(settings)
         return path
+
+
+def nodes_of(plan: Plan) -> tuple[Node, ...]:
+    """Spreads a plan's nodes over the failure domains, with free ports."""
+    domains = cycle(plan.configuration.site.failure_domains)
+    ports = iter(free_ports(plan.nodes * _PORTS_OF_NODE))
+    return tuple(
+        Node(
+            VmId(f'proxy-{number}'),
+            domain,
+            NodePorts(*islice(ports, _PORTS_OF_NODE)),
+        )
+        for number, domain in zip(
+            range(1, plan.nodes + 1),
+            domains,
+            strict=False,
+        )
+    )
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/cluster/platform.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/cluster/platform.py
@@ -5,9 +5,10 @@
 import asyncio
 from collections.abc import Mapping
 
-from cowslipfork.ids import SiteName
+from cowslipfork.ids import FailureDomain, SiteName
 from cowslipfork.store import Put, Store
 from cowslipfork.wire import records_pb2
+from cowslipfork_lab.cluster.plan import LOOPBACK
 
 _VMS = '/platform/vms/'
 _ENDPOINTS = '/platform/endpoints/'
@@ -97,3 +98,18 @@
             Put(f'/cowslipfork/audit/{number}', audit.SerializeToString()),
         ],
     )
+
+
+def entry_of(
+    name: str,
+    domain: FailureDomain,
+    port: int,
+) -> records_pb2.PlatformEntry:
+    """Makes the entry of a live VM or endpoint."""
+    return records_pb2.PlatformEntry(
+        name=name,
+        failure_domain=domain,
+        host=LOOPBACK,
+        port=port,
+        state=records_pb2.VM_STATE_LIVE,
+    )
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/cluster/processes.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/cluster/processes.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 
 from cowslipfork.errors import CowslipforkError
+from cowslipfork_lab.cluster.plan import LOOPBACK
 from cowslipfork_lab.cluster.process import ChildProcess
 
 #: Longest wait until a process serves.
@@ -115,3 +116,17 @@
                     await asyncio.sleep(_POLL_SECONDS)
         except TimeoutError as error:
             raise NotReady(name) from error
+
+
+def accepts(port: int) -> Callable[[], Awaitable[bool]]:
+    """Makes a question whether a port takes connections."""
+
+    async def ask() -> bool:
+        try:
+            _reader, writer = await asyncio.open_connection(LOOPBACK, port)
+        except OSError:
+            return False
+        writer.close()
+        return True
+
+    return ask
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/endpoint/control.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/endpoint/control.py
@@ -14,6 +14,7 @@
 
 from cowslipfork_lab.endpoint.failures import ErrorNumber, StatementFailed
 from cowslipfork_lab.endpoint.faults import Partition
+from cowslipfork_lab.endpoint.group_statements import status_row
 from cowslipfork_lab.endpoint.state import EndpointState
 
 _SET = re.compile(
@@ -21,6 +22,7 @@
     re.IGNORECASE,
 )
 _COUNTERS = re.compile(r'\s*SHOW\s+LAB\s+COUNTERS\s*$', re.IGNORECASE)
+_STATUS = re.compile(r'\s*SHOW\s+GROUP\s+STATUS\s*$', re.IGNORECASE)
 _MILLISECONDS = 1000
 
 _Setter = Callable[[EndpointState, str], None]
@@ -52,17 +54,20 @@
         """Runs a statement of the control port.
 
         Args:
-            sql: ``SET GLOBAL lab_...`` or ``SHOW LAB COUNTERS``.
+            sql: ``SET GLOBAL lab_...``, ``SHOW LAB COUNTERS`` or
+                ``SHOW GROUP STATUS``.
             attrs: query attributes, unused.
 
         Returns:
-            The counters, or None.
+            Counters or status; None for a setting.
 
         Raises:
             StatementFailed: no such variable.
         """
         if _COUNTERS.match(sql):
             return self._counters()
+        if _STATUS.match(sql):
+            return status_row(self._state)
         match = _SET.match(sql)
         if match:
             self._set(match.group(1).lower(), match.group(2))
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/endpoint/counters.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/endpoint/counters.py
@@ -12,6 +12,7 @@
     Attributes:
         statements: client statements that ran.
         reads: of these, reads.
+        replica_reads: of the reads, those served as a replica.
         writes: of these, writes.
         slots_used: slots in use now.
         slots_maximum: most slots in use at once.
@@ -26,6 +27,7 @@
 
     statements: int = 0
     reads: int = 0
+    replica_reads: int = 0
     writes: int = 0
     slots_used: int = 0
     slots_maximum: int = 0
@@ -37,6 +39,11 @@
     writes_refused: int = 0
     lock_timeouts: int = 0
 
+    def count_read(self, *, replica: bool) -> None:
+        """Counts a read that runs."""
+        self.reads += 1
+        self.replica_reads += int(replica)
+
     def take_slot(self) -> None:
         """Counts a statement that begins."""
         self.slots_used += 1
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/endpoint/group_statements.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/endpoint/group_statements.py
@@ -74,7 +74,7 @@
     session: EndpointSession,
 ) -> ResultSet:
     session.check_term()
-    return _status_row(state)
+    return status_row(state)
 
 
 async def _fence(
@@ -83,7 +83,7 @@
     session: EndpointSession,
 ) -> ResultSet:
     state.member.fence(Term(int(match.group(1))))
-    return _status_row(state)
+    return status_row(state)
 
 
 async def _promote(
@@ -92,7 +92,7 @@
     session: EndpointSession,
 ) -> ResultSet:
     state.member.promote(Term(int(match.group(1))))
-    return _status_row(state)
+    return status_row(state)
 
 
 async def _follow(
@@ -104,7 +104,7 @@
     member.follow(Term(int(match.group(1))), match.group(2))
     if member.role == EndpointRole.FENCED:
         await _wait(member.moved, FOLLOW_WAIT_SECONDS)
-    return _status_row(state)
+    return status_row(state)
 
 
 async def _log_terms(
@@ -157,7 +157,8 @@
         return
 
 
-def _status_row(state: EndpointState) -> ResultSet:
+def status_row(state: EndpointState) -> ResultSet:
+    """Gives the answer to ``SHOW GROUP STATUS``."""
     status = state.member.status(leaving=state.faults.leaving)
     return _table(
         {
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/endpoint/server.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/endpoint/server.py
@@ -7,7 +7,6 @@
 from itertools import count
 from typing import Any
 
-from mysql_mimic.auth import SimpleIdentityProvider
 from mysql_mimic.connection import Connection
 from mysql_mimic.control import LocalControl
 from mysql_mimic.stream import ConnectionClosed, MysqlStream
@@ -15,6 +14,7 @@
 from cowslipfork_lab.endpoint.connection import EndpointConnection
 from cowslipfork_lab.endpoint.control import ControlSession
 from cowslipfork_lab.endpoint.faults import NEWEST_CONNECTION
+from cowslipfork_lab.endpoint.identity import Anybody
 from cowslipfork_lab.endpoint.replication import replicate
 from cowslipfork_lab.endpoint.session import EndpointSession
 from cowslipfork_lab.endpoint.settings import EndpointSettings
@@ -37,7 +37,7 @@
         self._state = EndpointState(settings)
         self._ids = count(1)
         self._newest = 0
-        self._identity = SimpleIdentityProvider()
+        self._identity = Anybody()
         self._control = LocalControl(server_id=1)
         self._servers: list[asyncio.Server] = []
         self._tasks: set[asyncio.Task[Any]] = set()
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/endpoint/session.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/endpoint/session.py
@@ -11,6 +11,7 @@
 from mysql_mimic.types import ServerStatus
 from mysql_mimic.variables import GlobalVariables, SessionVariables
 
+from cowslipfork.groups import EndpointRole
 from cowslipfork_lab.endpoint.database import Outcome
 from cowslipfork_lab.endpoint.dialect import Statement, parse_statement
 from cowslipfork_lab.endpoint.failures import ErrorNumber, StatementFailed
@@ -141,7 +142,8 @@
         await self._serve()
         self._check_aborted()
         if statement.is_read and not statement.locks:
-            state.counters.reads += 1
+            replica = state.member.role != EndpointRole.PRIMARY
+            state.counters.count_read(replica=replica)
             inside = state.writer is self
             return state.member.database.read(statement, inside=inside)
         if statement.is_schema_change:
--- /dev/null
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/load/experiment.py
@@ -0,0 +1,248 @@
+"""An experiment: a cluster, a load, a fault, a check and a report."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Mapping, Sequence
+from dataclasses import asdict, dataclass
+from pathlib import Path
+from typing import Any
+
+import asyncmy
+from asyncmy.errors import MySQLError
+
+from cowslipfork.configuration import ReadingRule
+from cowslipfork.errors import CowslipforkError
+from cowslipfork.ids import GroupName, KindName
+from cowslipfork_lab.cluster import Cluster
+from cowslipfork_lab.cluster.cluster import Rows
+from cowslipfork_lab.cluster.plan import LOOPBACK
+from cowslipfork_lab.history import (
+    Violation,
+    check_jobs,
+    check_registers,
+    write_history,
+)
+from cowslipfork_lab.load import measure, schema
+from cowslipfork_lab.load.faults import fault_named, primary_of
+from cowslipfork_lab.load.mix import Share, mix_of
+from cowslipfork_lab.load.runner import Baseline, Load, LoadSettings
+
+_SETUP_TRIES = 150
+_SETUP_PAUSE_SECONDS = 0.2
+
+
+@dataclass(frozen=True, slots=True)
+class ExperimentSettings:
+    """What an experiment does.
+
+    Attributes:
+        load: size of the load.
+        baseline: what callers are connected to.
+        fault: name of the fault; empty for none.
+        fault_at: seconds after the start of the load.
+    """
+
+    load: LoadSettings
+    baseline: Baseline = Baseline.PROXY
+    fault: str = ''
+    fault_at: float = 0
+
+
+class GroupNotServed(CowslipforkError):
+    """No node took the tables of a group."""
+
+    def __init__(self, group: GroupName) -> None:
+        """Remembers which.
+
+        Args:
+            group: the group.
+        """
+        super().__init__(f'no node serves group {group}')
+        self.group = group
+
+
+@dataclass(frozen=True, slots=True)
+class Result:
+    """What came out.
+
+    Attributes:
+        document: figures for a JSON report.
+        violations: broken promises.
+    """
+
+    document: Mapping[str, Any]
+    violations: Sequence[Violation]
+
+
+class Experiment:
+    """Runs one load on a running cluster."""
+
+    def __init__(
+        self,
+        cluster: Cluster,
+        settings: ExperimentSettings,
+        directory: Path,
+    ) -> None:
+        """Prepares an experiment.
+
+        Args:
+            cluster: a cluster that has started.
+            settings: what to do.
+            directory: where history and report go.
+        """
+        self._cluster = cluster
+        self._settings = settings
+        self._directory = directory
+        self._configuration = cluster.plan.configuration
+        self._groups = cluster.plan.group_names
+        self._mix: Sequence[Share] = mix_of(cluster.plan.site, self._groups)
+        self._load = Load(
+            settings.load,
+            self._mix,
+            self._configuration,
+            {group: self._ports(group) for group in self._groups},
+        )
+
+    async def run(self) -> Result:
+        """Runs the load with its fault and checks the history.
+
+        Returns:
+            Figures and broken promises.
+        """
+        for group in self._groups:
+            await self._set_up(group)
+        fault = asyncio.create_task(self._bring_fault())
+        await self._load.run()
+        struck = await fault
+        write_history(self._directory / 'history.jsonl', self._load.attempts)
+        document = await self._report(struck)
+        violations = await self._check()
+        document['violations'] = [str(violation) for violation in violations]
+        report = json.dumps(document, indent=2)
+        (self._directory / 'report.json').write_text(report)
+        return Result(document, violations)
+
+    def _ports(self, group: GroupName) -> Sequence[int]:
+        if self._settings.baseline == Baseline.PROXY:
+            return self._cluster.caller_ports
+        first = self._cluster.plan.endpoints(group)[0]
+        return [self._cluster.port(first.name)]
+
+    async def _set_up(self, group: GroupName) -> None:
+        """Creates tables as a caller, as soon as the group is served."""
+        team = next(one.team for one in self._mix if group in one.groups)
+        statements = (
+            schema.JOBS,
+            schema.REGISTERS,
+            schema.insert_registers(self._load.registers[group]),
+        )
+        for _ in range(_SETUP_TRIES):
+            failure = await self._run_all(group, team, statements)
+            if failure is None:
+                return
+            await asyncio.sleep(_SETUP_PAUSE_SECONDS)
+        raise GroupNotServed(group) from failure
+
+    async def _run_all(
+        self,
+        group: GroupName,
+        team: str,
+        statements: Sequence[str],
+    ) -> MySQLError | None:
+        try:
+            connection = await asyncmy.connect(
+                host=LOOPBACK,
+                port=self._ports(group)[0],
+                user=team,
+                password=f'{team}-sample',
+                db=self._configuration.groups[group].database,
+                autocommit=True,
+            )
+        except MySQLError as error:
+            return error
+        try:
+            async with connection.cursor() as cursor:
+                for statement in statements:
+                    await cursor.execute(statement)
+        except MySQLError as error:
+            return error
+        finally:
+            connection.close()
+        return None
+
+    async def _bring_fault(self) -> measure.Fault | None:
+        settings = self._settings
+        if not settings.fault:
+            return None
+        bring = fault_named(settings.fault)
+        await asyncio.sleep(settings.fault_at)
+        group = self._groups[0]
+        struck = asyncio.get_running_loop().time()
+        await bring(self._cluster, group)
+        return measure.Fault(settings.fault, group, struck)
+
+    async def _check(self) -> list[Violation]:
+        rows: dict[str, int] = {}
+        final: dict[tuple[str, str], int] = {}
+        for group in self._groups:
+            rows.update(await self._select(group, schema.JOB_COUNTS))
+            numbers = await self._select(group, schema.REGISTER_NUMBERS)
+            final.update({(group, str(key)): now for key, now in numbers})
+        attempts = self._load.attempts
+        rules = self._rules()
+        return [
+            *check_jobs(attempts, rows),
+            *check_registers(attempts, rules, final),
+        ]
+
+    async def _select(self, group: GroupName, sql: str) -> Rows:
+        primary = await primary_of(self._cluster, group)
+        return await self._cluster.select(primary, sql)
+
+    async def _counts(self) -> dict[str, dict[str, int]]:
+        cluster = self._cluster
+        return {
+            endpoint.name: await cluster.counts(endpoint.name)
+            for group in self._groups
+            for endpoint in cluster.plan.endpoints(group)
+            if cluster.running(endpoint.name)
+        }
+
+    def _rules(self) -> dict[KindName, ReadingRule]:
+        kinds = self._configuration.kinds
+        return {name: kind.reads for name, kind in kinds.items()}
+
+    def _weights(self) -> dict[KindName, int]:
+        configuration = self._configuration
+        return {
+            name: configuration.classes[kind.class_name].weight
+            for name, kind in configuration.kinds.items()
+        }
+
+    async def _report(self, fault: measure.Fault | None) -> dict[str, Any]:
+        finals = self._load.finals
+        kinds = measure.figures_by_kind(finals)
+        endpoints = await self._counts()
+        in_time = sum(one.in_time for one in kinds.values())
+        return {
+            'settings': {
+                **asdict(self._settings.load),
+                'baseline': self._settings.baseline.value,
+                'fault': self._settings.fault,
+                'nodes': len(self._cluster.nodes),
+            },
+            'requests': len(finals),
+            'goodput_per_second': in_time / self._settings.load.seconds,
+            'weighted_availability': measure.weighted_availability(
+                kinds,
+                self._weights(),
+            ),
+            'replica_read_share': measure.replica_share(endpoints.values()),
+            'failover_gap_seconds': (
+                measure.failover_gap(finals, fault) if fault else None
+            ),
+            'kinds': measure.as_document(kinds),
+            'endpoints': endpoints,
+        }
--- /dev/null
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/load/runner.py
@@ -0,0 +1,174 @@
+"""Runs a load against nodes, or against the endpoints as a baseline."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections import defaultdict
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+from enum import Enum, unique
+
+from cowslipfork.configuration import Configuration
+from cowslipfork.ids import GroupName
+from cowslipfork_lab.history import Action, Attempt, Ending
+from cowslipfork_lab.load.arrivals import Arrival, arrivals
+from cowslipfork_lab.load.caller import Caller
+from cowslipfork_lab.load.endings import retry_after
+from cowslipfork_lab.load.measure import Final
+from cowslipfork_lab.load.mix import Share
+
+#: Attempts of one request at most.
+MOST_ATTEMPTS = 20
+#: Pause before another attempt if the server named none.
+RETRY_SECONDS = 0.1
+#: Share of reads that ask for what their own session has written.
+OWN_READS = 0.5
+
+
+@unique
+class Baseline(Enum):
+    """What callers are connected to.
+
+    ``DIRECT`` is what a marketplace has without a proxy: every request goes
+    to the first primary, and nobody follows a promotion.
+    """
+
+    PROXY = 'proxy'
+    DIRECT = 'direct'
+
+
+@dataclass(frozen=True, slots=True)
+class LoadSettings:
+    """Size of a load.
+
+    Attributes:
+        rate: requests a second.
+        seconds: length.
+        callers: caller connections, spread over the groups.
+        seed: of arrivals and registers.
+    """
+
+    rate: float
+    seconds: float
+    callers: int
+    seed: int = 1
+
+
+class Load:
+    """Callers, and the requests that they made."""
+
+    def __init__(
+        self,
+        settings: LoadSettings,
+        mix: Sequence[Share],
+        configuration: Configuration,
+        ports: Mapping[GroupName, Sequence[int]],
+    ) -> None:
+        """Prepares a load.
+
+        Args:
+            settings: its size.
+            mix: kinds of requests.
+            configuration: for databases, classes and deadlines.
+            ports: ports to connect to, by group.
+        """
+        self._settings = settings
+        self._mix = mix
+        self._configuration = configuration
+        self._chance = random.Random(settings.seed)
+        self._attempts: list[Attempt] = []
+        self._finals: list[Final] = []
+        self._registers: defaultdict[GroupName, list[int]] = defaultdict(list)
+        self._idle: dict[GroupName, asyncio.Queue[Caller]] = {
+            group: asyncio.Queue() for group in ports
+        }
+        for number in range(settings.callers):
+            groups = tuple(ports)
+            group = groups[number % len(groups)]
+            database = configuration.groups[group].database
+            caller = Caller(number, group, database, ports[group])
+            self._registers[group].append(number)
+            self._idle[group].put_nowait(caller)
+
+    @property
+    def attempts(self) -> Sequence[Attempt]:
+        """Every attempt, for the history."""
+        return self._attempts
+
+    @property
+    def finals(self) -> Sequence[Final]:
+        """Every request that has ended."""
+        return self._finals
+
+    @property
+    def registers(self) -> Mapping[GroupName, Sequence[int]]:
+        """Registers that the callers use."""
+        return self._registers
+
+    async def run(self) -> None:
+        """Sends every request when it is due and waits for all answers."""
+        clock = asyncio.get_running_loop()
+        start = clock.time()
+        settings = self._settings
+        async with asyncio.TaskGroup() as requests:
+            for arrival in arrivals(
+                self._mix,
+                settings.rate,
+                settings.seconds,
+                settings.seed,
+            ):
+                due = start + arrival.at
+                await asyncio.sleep(max(due - clock.time(), 0))
+                requests.create_task(self._serve(arrival, due))
+        for idle in self._idle.values():
+            while not idle.empty():
+                idle.get_nowait().close()
+
+    async def _serve(self, arrival: Arrival, due: float) -> None:
+        idle = self._idle[arrival.group]
+        caller = await idle.get()
+        try:
+            await self._try(caller, arrival, due)
+        finally:
+            idle.put_nowait(caller)
+
+    async def _try(self, caller: Caller, arrival: Arrival, due: float) -> None:
+        clock = asyncio.get_running_loop()
+        share = arrival.share
+        deadline = due + self._deadline(share)
+        key = self._key(caller, arrival)
+        tries: list[Attempt] = []
+        while len(tries) < MOST_ATTEMPTS:
+            left = max(deadline - clock.time(), RETRY_SECONDS)
+            tries.append(await caller.attempt(share, key, due, left))
+            pause = _pause_before_retry(tries[-1])
+            if pause is None or clock.time() + pause >= deadline:
+                break
+            await asyncio.sleep(pause)
+        self._attempts.extend(tries)
+        last = tries[-1]
+        in_time = last.ending == Ending.DONE and last.ended <= deadline
+        self._finals.append(Final(last, len(tries), in_time))
+
+    def _deadline(self, share: Share) -> float:
+        kind = self._configuration.kinds[share.kind]
+        return self._configuration.classes[kind.class_name].deadline
+
+    def _key(self, caller: Caller, arrival: Arrival) -> str:
+        if arrival.share.action == Action.JOB:
+            return f'{self._chance.getrandbits(64):016x}'
+        if arrival.share.action == Action.WRITE:
+            return caller.register
+        own = self._chance.random() < OWN_READS
+        registers = self._registers[arrival.group]
+        return caller.register if own else str(self._chance.choice(registers))
+
+
+def _pause_before_retry(attempt: Attempt) -> float | None:
+    retryable = attempt.ending == Ending.NOT_RUN or (
+        attempt.ending == Ending.UNKNOWN and attempt.action != Action.WRITE
+    )
+    if not retryable:
+        return None
+    return retry_after(attempt.text) or RETRY_SECONDS
--- /dev/null
+++ b/packages/cowslipfork-lab/tests/load/test_load.py
@@ -0,0 +1,140 @@
+"""Arrivals, outcomes and figures of the load tool."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+
+from cowslipfork_lab.cluster import Cluster, Plan
+from cowslipfork_lab.history import Action, Attempt, Ending, read_history
+from cowslipfork_lab.load import (
+    Baseline,
+    Experiment,
+    ExperimentSettings,
+    LoadSettings,
+    report_text,
+)
+from cowslipfork_lab.load.arrivals import arrivals
+from cowslipfork_lab.load.endings import classify, retry_after
+from cowslipfork_lab.load.faults import UnknownFault, fault_named
+from cowslipfork_lab.load.measure import (
+    Fault,
+    Final,
+    failover_gap,
+    figures_by_kind,
+    replica_share,
+    weighted_availability,
+)
+from cowslipfork_lab.load.mix import UnknownMix, mix_of
+
+SAMPLES = Path(__file__).parents[4] / 'samples'
+
+
+def final(kind='a', ending=Ending.DONE, started=0, ended=1, in_time=True):
+    attempt = Attempt(
+        'g', kind, 's', Action.JOB, 't', None, 0, started, ended, ending
+    )
+    return Final(attempt, 1, in_time)
+
+
+def test_same_seed_gives_the_same_arrivals():
+    mix = mix_of('punjab', ['sightings', 'orders'])
+    first = list(arrivals(mix, 100, 10, seed=1))
+    assert first == list(arrivals(mix, 100, 10, seed=1))
+    assert first != list(arrivals(mix, 100, 10, seed=2))
+    assert 800 < len(first) < 1200
+    assert {one.group for one in first} == {'sightings', 'orders'}
+    assert [one.at for one in first] == sorted(one.at for one in first)
+
+
+@pytest.mark.parametrize('deployment', ['hilal', 'nilebean'])
+def test_mix_names_kinds_and_teams_of_its_sample(deployment):
+    plan = Plan.of_sample(SAMPLES / deployment)
+    configuration = plan.configuration
+    for share in mix_of(plan.site, plan.group_names):
+        kind = configuration.kinds[share.kind]
+        assert kind.job == (share.action == Action.JOB)
+        team = configuration.teams[share.team]
+        assert set(share.groups) <= set(team.groups or plan.group_names)
+
+
+def test_unknown_names_are_refused():
+    with pytest.raises(UnknownMix):
+        mix_of('nowhere', [])
+    with pytest.raises(UnknownFault, match='kill-primary'):
+        fault_named('earthquake')
+
+
+@pytest.mark.parametrize(
+    ('errno', 'text', 'ending'),
+    [
+        (4705, 'not run: no_primary; retry after 40 ms', Ending.NOT_RUN),
+        (4720, 'unknown: outcome_unknown', Ending.UNKNOWN),
+        (4701, 'endpoint is fenced in term 2', Ending.NOT_RUN),
+        (1040, 'Too many connections', Ending.NOT_RUN),
+        (2013, 'Lost connection to MySQL server', Ending.UNKNOWN),
+        (1062, 'Duplicate entry', Ending.REFUSED),
+    ],
+)
+def test_outcomes_of_errors(errno, text, ending):
+    assert classify(errno, text).ending == ending
+
+
+def test_retry_after_is_read_from_the_text():
+    assert retry_after('not run: no_primary; retry after 40 ms') == 0.04
+    assert retry_after('Too many connections') is None
+
+
+def test_availability_is_weighted_by_class():
+    kinds = figures_by_kind(
+        [
+            final('heavy'),
+            final('light', Ending.NOT_RUN, in_time=False),
+            final('light'),
+        ],
+    )
+    available = weighted_availability(kinds, {'heavy': 8, 'light': 1})
+    assert available == pytest.approx(9 / 10)
+    assert kinds['light'].endings == {'not_run': 1, 'done': 1}
+    assert kinds['heavy'].latency_ms['p50'] == pytest.approx(1000, rel=0.01)
+
+
+@pytest.mark.parametrize(
+    ('finals', 'gap'),
+    [
+        ([], None),
+        ([final(started=4, ended=6)], None),
+        ([final(started=6, ended=7, ending=Ending.UNKNOWN)], None),
+        ([final(started=6, ended=9), final(started=7, ended=8)], 3),
+    ],
+)
+def test_failover_gap_counts_jobs_sent_after_the_fault(finals, gap):
+    assert failover_gap(finals, Fault('kill-primary', 'g', at=5)) == gap
+
+
+def test_replica_share():
+    counters = [
+        {'reads': 3, 'replica_reads': 3},
+        {'reads': 1, 'replica_reads': 0},
+    ]
+    assert replica_share(counters) == 0.75
+    assert replica_share([]) is None
+
+
+async def test_direct_load_keeps_every_promise_without_faults(tmp_path):
+    plan = Plan.of_sample(SAMPLES / 'hilal', nodes=1, groups=['sightings'])
+    settings = ExperimentSettings(
+        LoadSettings(rate=100, seconds=0.5, callers=5),
+        Baseline.DIRECT,
+    )
+    cluster = Cluster(plan, tmp_path)
+    try:
+        await cluster.start_platform()
+        outcome = await Experiment(cluster, settings, tmp_path).run()
+    finally:
+        await cluster.stop()
+    assert outcome.violations == []
+    attempts = list(read_history(tmp_path / 'history.jsonl'))
+    assert {one.action for one in attempts} == {Action.JOB, Action.READ}
+    assert 'violations: 0' in report_text(outcome.document)
