--- a/packages/cowslipfork-lab/src/cowslipfork_lab/load/experiment.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/load/experiment.py
@@ -187,7 +187,8 @@
         rows: dict[str, int] = {}
         final: dict[tuple[str, str], int] = {}
         for group in self._groups:
-            rows.update(await self._select(group, schema.JOB_COUNTS))
+            counts = await self._select(group, schema.JOB_COUNTS)
+            rows.update({token: count for token, count in counts})
             numbers = await self._select(group, schema.REGISTER_NUMBERS)
             final.update({(group, str(key)): now for key, now in numbers})
         attempts = self._load.attempts
--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/carrier/group_carrier.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/carrier/group_carrier.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Awaitable, Callable
 from functools import partial
 from typing import Final
@@ -13,7 +14,7 @@
     Kind,
     RequestClass,
 )
-from cowslipfork.groups import Tracker
+from cowslipfork.groups import GroupRecord, Health, Tracker, write_refusal
 from cowslipfork.ids import (
     ORIGIN,
     ClassName,
@@ -37,6 +38,9 @@
 from cowslipfork_proxy.carrier._transactions import Transactions
 from cowslipfork_proxy.carrier._writes import remaining, run_write
 
+#: Seconds between looks at whether a held request is still worth holding.
+_LOOK: Final = 0.1
+
 #: Kind of requests that name none: fresh reads, no jobs.
 SAFEST_KIND: Final = Kind(
     KindName('default'),
@@ -62,6 +66,7 @@
         configuration: Callable[[], Configuration],
         tracker: Tracker,
         grants: Grants,
+        health: Health,
     ) -> None:
         """Wires the parts of a group.
 
@@ -70,11 +75,14 @@
             configuration: gives the configuration in force.
             tracker: what is known of its endpoints.
             grants: slots and connections of its endpoints.
+            health: how the group fares, told by its supervision.
         """
         self._group = group
         self._configuration = configuration
         self._tracker = tracker
         self._grants = grants
+        self._health = health
+        self._held = 0
         self._table = JobTable()
         self._retries = RetryBudget(configuration().limits.retry_share)
         self._transactions = Transactions(
@@ -93,6 +101,25 @@
         """What is known of the group's endpoints."""
         return self._tracker
 
+    @property
+    def health(self) -> Health:
+        """How the group fares."""
+        return self._health
+
+    @property
+    def grants(self) -> Grants:
+        """Slots and connections of the group's endpoints."""
+        return self._grants
+
+    def adopt(self, record: GroupRecord) -> None:
+        """Takes a newer record over and ends what ran in earlier terms.
+
+        Args:
+            record: a record of the group as heard.
+        """
+        if self._tracker.adopt(record):
+            self._grants.abandon(record.term)
+
     def close(self) -> None:
         """Stops carrying: ends transactions, closes every connection."""
         self._transactions.close()
@@ -112,17 +139,29 @@
         kind = self._kind(request)
         if request.operation is Operation.READ:
             return await self._read(request, kind)
-        return await self._again(request, partial(self._write, request, kind))
+        return await self._again(
+            request,
+            partial(self._write, request, kind),
+            self._recovered,
+        )
 
     async def _again(
         self,
         request: Request,
         attempt: Callable[[], Awaitable[Outcome[Answer]]],
+        pause: Callable[[Request], Awaitable[NotRun | None]],
     ) -> Outcome[Answer]:
-        """Repeats an attempt that was not run, within the retry budget."""
+        """Repeats an attempt that was not run, within the retry budget.
+
+        ``pause`` waits until another try may fare better, or gives the
+        request up.
+        """
         self._retries.first_try()
         outcome = await attempt()
         while _passing(outcome) and remaining(request):
+            given_up = await pause(request)
+            if given_up is not None:
+                return given_up
             if not self._retries.may_retry():
                 break
             outcome = await attempt()
@@ -136,7 +175,7 @@
             self._session_mark(request),
         )
         attempt = partial(run_read, read, self._tracker, self._grants)
-        return await self._again(request, attempt)
+        return await self._again(request, attempt, _at_once)
 
     async def _write(self, request: Request, kind: Kind) -> Outcome[Answer]:
         refused = _write_refusal(request, kind)
@@ -157,21 +196,73 @@
                 self._wanted_primary(request, kind, in_transaction=True),
                 self._acknowledged,
             )
+        refused = await self._no_primary(request)
+        if refused is not None:
+            return refused
         record = self._tracker.record
-        if not record.serving:
-            return _no_primary()
         grant = await self._grants.pinned(record.primary, record.term)
         if not isinstance(grant, Grant):
             return not_granted(grant)
         return await self._transactions.begin(request, grant)
 
     async def _primary(self, request: Request, kind: Kind) -> Grant | NotRun:
-        if not self._tracker.record.serving:
-            return _no_primary()
+        refused = await self._no_primary(request)
+        if refused is not None:
+            return refused
         wanted = self._wanted_primary(request, kind, in_transaction=False)
         grant = await self._grants.grant(wanted)
         return grant if isinstance(grant, Grant) else not_granted(grant)
 
+    async def _no_primary(self, request: Request) -> NotRun | None:
+        """Holds a request while a primary is chosen."""
+        return await self._held_until(
+            request,
+            lambda until: self._tracker.served(until),
+        )
+
+    async def _recovered(self, request: Request) -> NotRun | None:
+        """Holds a request until the primary answers again or is replaced."""
+        term = self._tracker.record.term
+
+        async def proved(until: float) -> bool:
+            if not await self._tracker.served(until):
+                return False
+            if self._tracker.record.term != term:
+                return True
+            return (await self._tracker.check(term, until)).is_ok()
+
+        return await self._held_until(request, proved)
+
+    async def _held_until(
+        self,
+        request: Request,
+        proved: Callable[[float], Awaitable[bool]],
+    ) -> NotRun | None:
+        """Holds a request, within its deadline and a bound.
+
+        Args:
+            request: the request.
+            proved: waits until a loop time for what is hoped for.
+
+        Returns:
+            None once it is there; otherwise why the request is given up,
+            as soon as no promotion is under way.
+        """
+        if self._held >= self._configuration().limits.hold:
+            return _choosing_primary()
+        loop = asyncio.get_running_loop()
+        self._held += 1
+        try:
+            while remaining(request):
+                refused = write_refusal(self._health.condition)
+                if refused is not None:
+                    return refused
+                if await proved(min(request.deadline, loop.time() + _LOOK)):
+                    return None
+        finally:
+            self._held -= 1
+        return _choosing_primary()
+
     def _wanted_primary(
         self,
         request: Request,
@@ -221,7 +312,11 @@
     return None
 
 
-def _no_primary() -> NotRun:
+async def _at_once(request: Request) -> None:
+    """Lets a read be tried at once, on another endpoint."""
+
+
+def _choosing_primary() -> NotRun:
     return NotRun(Reason.NO_PRIMARY, RECONNECT_MS, 'a primary is being chosen')
 
 
