--- /dev/null
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements behind the capacity page."""
--- a/packages/cowslipfork/src/cowslipfork/membership/hearing.py
+++ b/packages/cowslipfork/src/cowslipfork/membership/hearing.py
@@ -11,7 +11,7 @@
 _Kept = TypeVar('_Kept')
 
 #: Seconds without a heartbeat after which a neighbour is suspected.
-SUSPECT_AFTER = 1.0
+SUSPECT_AFTER = 1.2
 
 #: Seconds until a neighbour that others hear may be suspected again.
 DOUBT_PAUSE = 5.0
--- a/packages/cowslipfork/src/cowslipfork/membership/link.py
+++ b/packages/cowslipfork/src/cowslipfork/membership/link.py
@@ -20,7 +20,7 @@
 from cowslipfork.wire import node_pb2
 
 #: Seconds between heartbeats without news.
-HEARTBEAT = 0.3
+HEARTBEAT = 0.45
 
 #: Share by which each interval is drawn shorter or longer.
 JITTER = 0.1
--- a/packages/cowslipfork/src/cowslipfork/membership/links.py
+++ b/packages/cowslipfork/src/cowslipfork/membership/links.py
@@ -24,7 +24,7 @@
 from cowslipfork.wire import node_pb2
 
 #: Seconds without a heartbeat after which a link is opened anew.
-LINK_SILENCE = 0.9
+LINK_SILENCE = 1.0
 
 #: Seconds that a node waits for a neighbour to open the link between them.
 DIAL_GRACE = 0.5
@@ -180,8 +180,12 @@
         while True:
             member = self._members.all.get(vm)
             if vm in self._open:
+                # The neighbour opened it; when it ends, so does the wait of
+                # the end that dials.
                 delays = backoff_delays(FIRST_REDIAL, LONGEST_REDIAL)
-            elif member:
+                await asyncio.sleep(DIAL_GRACE * random.uniform(1, 2))
+                continue
+            if member:
                 await self._dial_member(member)
             await asyncio.sleep(FIRST_REDIAL + next(delays))
 
