Node joins the fleet: heartbeats, relays and records instead of polling

Polling took each node three store calls a half second (30 a second for five nodes, growing with the fleet) and changes came into force after up to 0.5 s. The node now runs the fleet's loops; relays watch the store.

--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/node.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/node.py
@@ -5,7 +5,6 @@
 import asyncio
 import logging
 import signal
-from collections.abc import Sequence
 from contextlib import AsyncExitStack, suppress
 from functools import partial
 from typing import Final
@@ -22,30 +21,44 @@
 )
 from cowslipfork.groups import (
     ClaimerId,
-    Evidence,
     GroupRecord,
     Violation,
     first_record,
 )
-from cowslipfork.ids import EndpointId, GroupName, RegionName, Term, VmId
+from cowslipfork.ids import GroupName, RegionName, VmId
 from cowslipfork.limits import TeamLimits
 from cowslipfork.membership import Place, carrier_of, rank
 from cowslipfork.requests import Run
 from cowslipfork.store import Store
 from cowslipfork.store.etcd import EtcdStore
-from cowslipfork.wire import admin_pb2, admin_pb2_grpc, node_pb2_grpc
+from cowslipfork.wire import (
+    admin_pb2,
+    admin_pb2_grpc,
+    node_pb2,
+    node_pb2_grpc,
+)
 from cowslipfork_proxy.administration import AdminParts, AdminService
 from cowslipfork_proxy.admission import admitting
 from cowslipfork_proxy.callers import CallerSettings, serve_callers
 from cowslipfork_proxy.carrier import Carriers, CarryingParts, carry
 from cowslipfork_proxy.endpoints import Login
-from cowslipfork_proxy.forwarding import CarrierLink, CarrierService
+from cowslipfork_proxy.forwarding import CarrierService
 from cowslipfork_proxy.holdings import Holdings
 from cowslipfork_proxy.metrics import gauge, set_up_metrics
-from cowslipfork_proxy.polling import poll_store
-from cowslipfork_proxy.probing import MOST_ASKED, ProbeService, ask_nodes
+from cowslipfork_proxy.peers import (
+    FleetNeeds,
+    FleetParts,
+    announce,
+    assemble_fleet,
+)
+from cowslipfork_proxy.probing import probe
+from cowslipfork_proxy.reach import Reach
 from cowslipfork_proxy.routing import Router
-from cowslipfork_proxy.status import group_statuses, impediments
+from cowslipfork_proxy.status import (
+    group_statuses,
+    impediments,
+    node_statuses,
+)
 
 log = logging.getLogger(__name__)
 
@@ -81,9 +94,14 @@
         self._violations = self._meter.create_counter('invariant_violations')
         self._holdings = Holdings(_empty(settings))
         self._login = Login()
+        self._region = RegionName(settings.site)
+        self._reach = Reach(
+            self._vm,
+            self._holdings,
+            grpc.aio.insecure_channel,
+        )
+        self._fleet = self._join(asyncio.get_running_loop().time())
         self._carriers = Carriers(partial(carry, self._parts()))
-        self._channels: dict[VmId, grpc.aio.Channel] = {}
-        self._links: dict[VmId, CarrierLink] = {}
         self._router = Router(
             self._carrier_of,
             self._run_at,
@@ -99,16 +117,16 @@
             server = self._peer_server()
             await server.start()
             stack.push_async_callback(server.stop, _GRACE)
-            poller = asyncio.create_task(
-                poll_store(self._store, self._holdings, settings.site),
-            )
-            stack.callback(poller.cancel)
+            seeds = [f'{host}:{port}' for host, port in settings.peers]
+            joined = asyncio.create_task(self._fleet.fleet.run(seeds))
+            stack.callback(joined.cancel)
             callers = await serve_callers(
                 CallerSettings(settings.host, settings.caller_port),
                 admitting(self._router.run, TeamLimits(), self._configuration),
                 self._configuration,
             )
             stack.push_async_callback(callers.close)
+            stack.push_async_callback(self._reach.close)
             stack.callback(self._carriers.close)
             log.info('node started', extra={'port': callers.port})
             await self._stop.wait()
@@ -123,7 +141,7 @@
             server,
         )
         node_pb2_grpc.add_MembershipServicer_to_server(
-            ProbeService(self._configuration, self._login),
+            self._fleet.service,
             server,
         )
         admin_pb2_grpc.add_AdminServicer_to_server(
@@ -151,28 +169,16 @@
         return True
 
     def _status(self) -> admin_pb2.StatusReply:
-        records = [
-            self._record_of(group)
-            for group in self._configuration().groups.values()
-        ]
+        now = asyncio.get_running_loop().time()
+        records = map(self._record_of, self._configuration().groups.values())
+        carried = self._carriers.carried
         return admin_pb2.StatusReply(
             vm=self._vm,
             revision=self._holdings.revision,
-            store_reachable=True,
-            nodes=[
-                admin_pb2.NodeStatus(
-                    vm=vm,
-                    state='leaving' if neighbour.leaving else 'live',
-                    failure_domain=neighbour.place.failure_domain,
-                )
-                for vm, neighbour in self._holdings.neighbours.items()
-            ],
-            groups=group_statuses(
-                records,
-                self._carriers.carried,
-                self._carrier_of,
-            ),
-            cannot=impediments(self._carriers.carried),
+            store_reachable=self._fleet.fleet.store_age(now) is not None,
+            nodes=node_statuses(self._fleet.members, now),
+            groups=group_statuses(records, carried, self._carrier_of),
+            cannot=impediments(carried),
         )
 
     def _configuration(self) -> Configuration:
@@ -189,25 +195,12 @@
         ]
 
     def _carrier_of(self, group: GroupName) -> VmId | None:
-        region = self._holdings.configuration.site.region
-        return carrier_of(group, self._places(), region)
-
-    def _channel(self, vm: VmId) -> grpc.aio.Channel:
-        channel = self._channels.get(vm)
-        if channel is None:
-            address = self._holdings.neighbours[vm].address
-            channel = grpc.aio.insecure_channel(address)
-            self._channels[vm] = channel
-        return channel
+        return carrier_of(group, self._places(), self._region)
 
     def _run_at(self, vm: VmId) -> Run:
         if vm == self._vm:
             return self._carriers.run
-        link = self._links.get(vm)
-        if link is None:
-            link = CarrierLink(self._channel(vm))
-            self._links[vm] = link
-        return link.run
+        return self._reach.run_at(vm)
 
     def _settle(self) -> None:
         """Carries the groups that rendezvous gives to this VM."""
@@ -220,6 +213,33 @@
             if record is not None:
                 carrier.adopt(record)
 
+    def _join(self, now: float) -> FleetParts:
+        settings = self._settings
+        return assemble_fleet(
+            FleetNeeds(
+                settings=settings,
+                address=f'{settings.host}:{settings.peer_port}',
+                store=self._store,
+                holdings=self._holdings,
+                open_channel=grpc.aio.insecure_channel,
+                probe=self._probe,
+                diverged=self._count_divergence,
+            ),
+            now,
+        )
+
+    async def _probe(
+        self,
+        request: node_pb2.ProbeRequest,
+    ) -> node_pb2.ProbeReply:
+        return await probe(request, self._configuration(), self._login)
+
+    def _count_divergence(self, key: str) -> None:
+        self._violations.add(
+            1,
+            {'violation': 'two_contents_of_a_version', 'key': key},
+        )
+
     def _parts(self) -> CarryingParts:
         return CarryingParts(
             vm=self._settings.vm,
@@ -229,7 +249,7 @@
             configuration=self._configuration,
             record_of=self._record_of,
             announce=self._announce,
-            ask_peers=self._ask_peers,
+            ask_peers=self._reach.ask_peers,
             ranks=self._ranks,
             count_violation=self._count_violation,
         )
@@ -238,24 +258,10 @@
         return self._holdings.records.get(group.name) or first_record(group)
 
     def _announce(self, record: GroupRecord) -> None:
-        self._holdings.hear_records([record])
+        announce(self._fleet.records, record)
 
     def _ranks(self, group: GroupName) -> list[VmId]:
-        region = self._holdings.configuration.site.region
-        return rank(group, self._places(), region)
-
-    async def _ask_peers(
-        self,
-        endpoint: EndpointId,
-        term: Term,
-    ) -> Sequence[Evidence]:
-        others = [vm for vm in self._holdings.neighbours if vm != self._vm]
-        return await ask_nodes(
-            [self._channel(vm) for vm in others[:MOST_ASKED]],
-            endpoint,
-            term,
-            self._holdings.configuration.failover.probe_timeout,
-        )
+        return rank(group, self._places(), self._region)
 
     def _count_violation(self, group: GroupName, violation: Violation) -> None:
         log.error(
--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/probing.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/probing.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Iterable, Sequence
 from types import MappingProxyType
 from typing import Any, Final
 
@@ -107,37 +107,3 @@
     except grpc.aio.AioRpcError:
         return Evidence.UNHEARD
     return _FROM_WIRE.get(reply.result, Evidence.UNHEARD)
-
-
-class ProbeService(node_pb2_grpc.MembershipServicer):
-    """Answers probes that other nodes ask for."""
-
-    def __init__(
-        self,
-        configuration: Callable[[], Configuration],
-        login: Login,
-    ) -> None:
-        """Remembers how to reach endpoints.
-
-        Args:
-            configuration: gives the configuration in force.
-            login: user and password.
-        """
-        self._configuration = configuration
-        self._login = login
-
-    async def Probe(  # noqa: N802
-        self,
-        request: node_pb2.ProbeRequest,
-        context: Any,
-    ) -> node_pb2.ProbeReply:
-        """Examines a primary.
-
-        Args:
-            request: which endpoint, in which term.
-            context: of gRPC.
-
-        Returns:
-            What was found.
-        """
-        return await probe(request, self._configuration(), self._login)
--- /dev/null
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/reach.py
@@ -0,0 +1,114 @@
+"""Connections of a node to other nodes, opened when they are first used."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Coroutine, Sequence
+from typing import Any
+
+import grpc
+
+from cowslipfork.groups import Evidence
+from cowslipfork.ids import EndpointId, Term, VmId
+from cowslipfork.requests import Run
+from cowslipfork_proxy.forwarding import CarrierLink
+from cowslipfork_proxy.holdings import Holdings
+from cowslipfork_proxy.probing import MOST_ASKED, ask_nodes
+
+
+class Reach:
+    """Channels and carrier links to other nodes, by VM and address."""
+
+    def __init__(
+        self,
+        vm: VmId,
+        holdings: Holdings,
+        open_channel: Callable[[str], grpc.aio.Channel],
+    ) -> None:
+        """Opens nothing yet.
+
+        Args:
+            vm: this VM.
+            holdings: tells the addresses of others.
+            open_channel: opens a channel to ``host:port``.
+        """
+        self._vm = vm
+        self._holdings = holdings
+        self._open_channel = open_channel
+        self._channels: dict[str, grpc.aio.Channel] = {}
+        self._links: dict[str, CarrierLink] = {}
+        holdings.listen(self._drop_strangers)
+        self._closing: set[asyncio.Task[None]] = set()
+
+    def run_at(self, vm: VmId) -> Run:
+        """Gives what runs a statement at another VM.
+
+        Args:
+            vm: the VM; known to the holdings.
+
+        Returns:
+            The runner of the link to it.
+        """
+        address = self._holdings.neighbours[vm].address
+        link = self._links.get(address)
+        if link is None:
+            link = CarrierLink(self._open_channel(address))
+            self._links[address] = link
+        return link.run
+
+    async def ask_peers(
+        self,
+        endpoint: EndpointId,
+        term: Term,
+    ) -> Sequence[Evidence]:
+        """Asks other nodes about a primary, other failure domains first.
+
+        Args:
+            endpoint: the primary.
+            term: the term that it should lead.
+
+        Returns:
+            One piece of evidence for each node asked.
+        """
+        neighbours = self._holdings.neighbours
+        own = neighbours.get(self._vm)
+        domain = own.place.failure_domain if own else None
+        others = sorted(
+            (other for vm, other in neighbours.items() if vm != self._vm),
+            key=lambda other: other.place.failure_domain == domain,
+        )
+        return await ask_nodes(
+            [self._channel(other.address) for other in others[:MOST_ASKED]],
+            endpoint,
+            term,
+            self._holdings.configuration.failover.probe_timeout,
+        )
+
+    async def close(self) -> None:
+        """Closes everything; statements on links end."""
+        await asyncio.gather(*(link.close() for link in self._links.values()))
+        channels = self._channels.values()
+        await asyncio.gather(*(channel.close() for channel in channels))
+
+    def _channel(self, address: str) -> grpc.aio.Channel:
+        channel = self._channels.get(address)
+        if channel is None:
+            channel = self._open_channel(address)
+            self._channels[address] = channel
+        return channel
+
+    def _drop_strangers(self) -> None:
+        """Closes links to addresses where no VM is known any more."""
+        known = {
+            neighbour.address
+            for neighbour in self._holdings.neighbours.values()
+        }
+        for address in self._links.keys() - known:
+            self._close_later(self._links.pop(address).close())
+        for strange in self._channels.keys() - known:
+            self._close_later(self._channels.pop(strange).close(None))
+
+    def _close_later(self, closing: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(closing)
+        self._closing.add(task)
+        task.add_done_callback(self._closing.discard)
--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/status.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/status.py
@@ -11,12 +11,42 @@
     write_refusal,
 )
 from cowslipfork.ids import EndpointId, GroupName, VmId
+from cowslipfork.membership import Member, Members
 from cowslipfork.wire import admin_pb2
 from cowslipfork_proxy.carrier import GroupCarrier
 
 #: Age reported for an endpoint about which nothing is proved.
 _UNKNOWN_AGE = -1
 
+_MS_PER_SECOND = 1000
+
+
+def node_statuses(
+    members: Members,
+    now: float,
+) -> Iterator[admin_pb2.NodeStatus]:
+    """Describes the VMs of the fleet.
+
+    Args:
+        members: VMs that the node knows.
+        now: seconds of the event loop's clock.
+
+    Yields:
+        A description of each VM, the node itself first.
+    """
+    others = members.all.values()
+    for member in (Member(members.own), *others):
+        report = member.report
+        heard = now - member.changed_at if member.changed_at else 0
+        yield admin_pb2.NodeStatus(
+            vm=report.vm,
+            state=member.state.value,
+            revision=report.revision,
+            failure_domain=report.place.failure_domain,
+            relay=report.relay,
+            heard_ms=round(heard * _MS_PER_SECOND),
+        )
+
 
 def group_statuses(
     records: Iterable[GroupRecord],
