Node takes callers once configured and carries once placed

Cause: with relays a node starts before it holds anything: callers were refused (1045) in the first half second, and a node that knows only itself would take every group for its own. It now waits for a configuration before it accepts callers and carries nothing until it has heard the platform's list and its view is current; a node cut off from store and majority gives up what it carries.

--- a/packages/cowslipfork-lab/src/cowslipfork_lab/load/experiment.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/load/experiment.py
@@ -187,10 +187,9 @@
         rows: dict[str, int] = {}
         final: dict[tuple[str, str], int] = {}
         for group in self._groups:
-            counts = await self._select(group, schema.JOB_COUNTS)
-            rows.update({token: count for token, count in counts})
-            numbers = await self._select(group, schema.REGISTER_NUMBERS)
-            final.update({(group, str(key)): now for key, now in numbers})
+            rows.update(await self._numbers(group, schema.JOB_COUNTS))
+            numbers = await self._numbers(group, schema.REGISTER_NUMBERS)
+            final.update({(group, key): now for key, now in numbers.items()})
         attempts = self._load.attempts
         rules = self._rules()
         return [
@@ -198,6 +197,10 @@
             *check_registers(attempts, rules, final),
         ]
 
+    async def _numbers(self, group: GroupName, sql: str) -> dict[str, int]:
+        rows = await self._select(group, sql)
+        return {str(key): int(number) for key, number in rows}
+
     async def _select(self, group: GroupName, sql: str) -> Rows:
         primary = await primary_of(self._cluster, group)
         return await self._cluster.select(primary, sql)
--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/node.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/node.py
@@ -29,6 +29,7 @@
 from cowslipfork.limits import TeamLimits
 from cowslipfork.membership import Place, carrier_of, rank
 from cowslipfork.requests import Run
+from cowslipfork.spread.record import VMS_PREFIX
 from cowslipfork.store import Store
 from cowslipfork.store.etcd import EtcdStore
 from cowslipfork.wire import (
@@ -62,6 +63,9 @@
 
 log = logging.getLogger(__name__)
 
+#: Seconds between looks at whether this node may carry groups.
+_SETTLE_INTERVAL: Final = 0.25
+
 #: Seconds that gRPC streams get to end at shutdown.
 _GRACE: Final = 1
 
@@ -107,6 +111,8 @@
             self._run_at,
             lambda: self._holdings.configuration.limits.hold,
         )
+        self._in_force = asyncio.Event()
+        self._carrying = False
         self._holdings.listen(self._settle)
 
     async def run(self) -> None:
@@ -120,6 +126,10 @@
             seeds = [f'{host}:{port}' for host, port in settings.peers]
             joined = asyncio.create_task(self._fleet.fleet.run(seeds))
             stack.callback(joined.cancel)
+            current = asyncio.create_task(self._keep_settled())
+            stack.callback(current.cancel)
+            if not await self._configured():
+                return
             callers = await serve_callers(
                 CallerSettings(settings.host, settings.caller_port),
                 admitting(self._router.run, TeamLimits(), self._configuration),
@@ -134,6 +144,39 @@
             await callers.drain()
         log.info('node stopped')
 
+    async def _configured(self) -> bool:
+        """Waits for a configuration, without which no caller can log in.
+
+        Returns:
+            Whether there is one; otherwise the node has to stop.
+        """
+        in_force = asyncio.create_task(self._in_force.wait())
+        stopped = asyncio.create_task(self._stop.wait())
+        await asyncio.wait(
+            (in_force, stopped),
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        in_force.cancel()
+        stopped.cancel()
+        return not self._stop.is_set()
+
+    async def _keep_settled(self) -> None:
+        """Gives up what is carried when the node is cut off from all."""
+        while True:
+            await asyncio.sleep(_SETTLE_INTERVAL)
+            if self._may_carry() != self._carrying:
+                self._settle()
+
+    def _may_carry(self) -> bool:
+        """Tells whether this node's view of the fleet can be relied on.
+
+        Before the platform's list was heard a node knows only itself and
+        would take every group for its own.
+        """
+        listed = self._fleet.records.below(VMS_PREFIX)
+        now = asyncio.get_running_loop().time()
+        return bool(listed) and self._fleet.fleet.is_current(now)
+
     def _peer_server(self) -> grpc.aio.Server:
         server = grpc.aio.server()
         node_pb2_grpc.add_CarrierServicer_to_server(
@@ -204,7 +247,10 @@
 
     def _settle(self) -> None:
         """Carries the groups that rendezvous gives to this VM."""
-        groups = self._holdings.configuration.groups
+        if self._holdings.revision:
+            self._in_force.set()
+        self._carrying = self._may_carry()
+        groups = self._holdings.configuration.groups if self._carrying else ()
         self._carriers.settle(
             group for group in groups if self._carrier_of(group) == self._vm
         )
