Callers: one write for a short answer; the measurement

Cause, by profile (python -m cowslipfork_lab.measure.callers profile): the answer of a point read was written twice (rows, then the end of rows), 22 us of writing under the profiler for each statement; then enum lookups of capabilities (5 for each statement) and the fold of literal lists.

Ruled out: dropping the drain between batches; the last batch alone waits for the packet behind it, so a slow reader still holds the stream back.

--- /dev/null
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of single parts, each a command of its own."""
--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/callers/commands.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/callers/commands.py
@@ -10,7 +10,7 @@
 
 from mysql_mimic import packets as library_packets
 from mysql_mimic.errors import MysqlError
-from mysql_mimic.types import Capabilities, Commands
+from mysql_mimic.types import Commands
 
 from cowslipfork.outcomes import Done, Outcome
 from cowslipfork.requests import Answer, Statement, classify
@@ -93,7 +93,7 @@
         connection: of the caller.
         payload: of COM_STMT_EXECUTE.
     """
-    named = _sends_attributes(connection)
+    named = connection.sends_attributes
     with _reading():
         execution = connection.prepared.execution(payload, named=named)
     await _serve(
@@ -208,16 +208,12 @@
     raise fault(Fault.UNKNOWN_COMMAND, 'this command is not supported')
 
 
-def _sends_attributes(connection: CallerConnection) -> bool:
-    return Capabilities.CLIENT_QUERY_ATTRIBUTES in connection.capabilities
-
-
 def _read_query(
     connection: CallerConnection,
     payload: bytes,
 ) -> tuple[str, Mapping[str, object]]:
     codec = connection.client_charset.codec
-    if not _sends_attributes(connection):
+    if not connection.sends_attributes:
         return str(payload, codec), {}
     if payload.startswith(_NO_ATTRIBUTES):
         return str(payload[len(_NO_ATTRIBUTES) :], codec), {}
@@ -241,7 +237,8 @@
         outcome = await connection.session.answer(sql, statement, attributes)
     else:
         outcome = await serve_locally(connection.session, sql, statement.local)
-    connection.follow_session()
+        connection.follow_session()
+    connection.follow_state()
     if not isinstance(outcome, Done):
         raise outcome_failure(outcome)
     await write(connection, outcome.answer)
--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/callers/connection.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/callers/connection.py
@@ -4,13 +4,15 @@
 
 import asyncio
 import logging
+from functools import lru_cache
 from types import MappingProxyType
 from typing import Any
 
 from mysql_mimic.charset import CharacterSet
 from mysql_mimic.connection import Connection
+from mysql_mimic.packets import make_eof, make_ok
 from mysql_mimic.stream import ConnectionClosed
-from mysql_mimic.types import Commands, ServerStatus
+from mysql_mimic.types import Capabilities, Commands, ServerStatus
 
 from cowslipfork.errors import CowslipforkError
 from cowslipfork.outcomes import NotRun, Reason
@@ -34,6 +36,9 @@
 #: When a caller of a draining node may come back, to any other node.
 _DRAINING_RETRY_MS = 1
 
+#: Kept packets: capabilities of drivers by states of a session.
+_ENDS_OF_ROWS = 256
+
 _QUIT = bytes((Commands.COM_QUIT,))
 
 _STATUS = MappingProxyType(
@@ -48,6 +53,13 @@
 )
 
 
+@lru_cache(maxsize=_ENDS_OF_ROWS)
+def _end_of_rows(capabilities: Capabilities, status: ServerStatus) -> bytes:
+    if Capabilities.CLIENT_DEPRECATE_EOF in capabilities:
+        return make_ok(capabilities, status, eof=True)
+    return make_eof(capabilities, status)
+
+
 class CallerConnection(Connection):
     """The library's connection with the endpoint's own figures in answers."""
 
@@ -68,6 +80,8 @@
         self._serving: asyncio.Task[None] | None = None
         self._lingering: asyncio.TimerHandle | None = None
         self._logging_in = True
+        self.sends_attributes = False
+        self._deprecates_eof = False
         self._idle = False
         self._draining = False
         self._dismissed = False
@@ -138,10 +152,27 @@
         packet: bytes = super().ok(**options)
         return packet
 
+    def deprecate_eof(self) -> bool:
+        """Tells whether the caller's driver expects no EOF packets."""
+        return self._deprecates_eof
+
+    def end_of_rows(self) -> bytes:
+        """Builds the packet that ends a result.
+
+        Returns:
+            Payload of the packet.
+        """
+        return _end_of_rows(self.capabilities, self.status_flags)
+
+    def follow_state(self) -> None:
+        """Takes over whether the session is in a transaction."""
+        session = self.session
+        self.status_flags = _STATUS[session.in_transaction, session.autocommit]
+
     def follow_session(self) -> None:
         """Takes over the session's state and character sets."""
+        self.follow_state()
         session = self.session
-        self.status_flags = _STATUS[session.in_transaction, session.autocommit]
         self._statement_charset = session.variables.statement_charset
         self.results_charset = session.variables.results_charset
 
@@ -152,6 +183,10 @@
             text = f'bad handshake: {type(error).__name__}'
             raise fault(Fault.BAD_HANDSHAKE, text) from error
         self._logging_in = False
+        deprecates_eof = Capabilities.CLIENT_DEPRECATE_EOF
+        self._deprecates_eof = deprecates_eof in self.capabilities
+        attributes = Capabilities.CLIENT_QUERY_ATTRIBUTES
+        self.sends_attributes = attributes in self.capabilities
         self.follow_session()
 
     async def _leave(self) -> None:
--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/callers/results.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/callers/results.py
@@ -12,9 +12,10 @@
 from mysql_mimic.results import ResultColumn
 from mysql_mimic.types import ColumnType
 
-from cowslipfork.requests import Answer, Cell, Column, Row
+from cowslipfork.requests import Answer, Cell, Column, Row, Rows
 from cowslipfork_proxy.callers.binary import binary_column
 from cowslipfork_proxy.callers.packets import make_column
+from cowslipfork_proxy.callers.stream import CallerStream
 
 if TYPE_CHECKING:
     from cowslipfork_proxy.callers.connection import CallerConnection
@@ -43,12 +44,11 @@
     cells = tuple(repeat(_TEXT_CELL, len(answer.columns)))
     charset = connection.results_charset
     async with aclosing(answer.rows) as batches:
-        async for batch in batches:
+        async for batch in _paced(stream, batches):
             if charset is not CharacterSet.utf8mb4:
                 batch = [_converted(row, charset.codec) for row in batch]
             stream.write_text_rows(batch, cells)
-            await stream.drain()
-    await stream.write(connection.ok_or_eof())
+    await stream.write(connection.end_of_rows())
 
 
 async def write_binary(connection: CallerConnection, answer: Answer) -> None:
@@ -65,12 +65,25 @@
     _write_head(connection, answer.columns)
     columns = tuple(map(binary_column, answer.columns))
     async with aclosing(answer.rows) as batches:
-        async for batch in batches:
+        async for batch in _paced(stream, batches):
             stream.write_many(
                 [make_binary_resultrow(row, columns) for row in batch],
             )
+    await stream.write(connection.end_of_rows())
+
+
+async def _paced(stream: CallerStream, batches: Rows) -> Rows:
+    """Waits for a slow reader between batches.
+
+    The last batch stays in the buffer, to be sent with what follows it: a
+    short answer is one write.
+    """
+    buffered = False
+    async for batch in batches:
+        if buffered:
             await stream.drain()
-    await stream.write(connection.ok_or_eof())
+        yield batch
+        buffered = True
 
 
 async def _write_figures(connection: CallerConnection, answer: Answer) -> None:
--- a/packages/cowslipfork/src/cowslipfork/requests/shape.py
+++ b/packages/cowslipfork/src/cowslipfork/requests/shape.py
@@ -58,8 +58,9 @@
         shape = _ANY.sub(_mask, sql)
     else:
         shape = _PLAIN.sub('?', sql)
-    if ',' in shape:
+    if '?,' in shape:
         shape = _LIST.sub('(?)', shape)
+    if '),' in shape:
         shape = _LISTS.sub('(?)', shape)
     return shape.strip()
 
