--- a/packages/cowslipfork-lab/src/cowslipfork_lab/cli.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/cli.py
@@ -16,10 +16,13 @@
 from cowslipfork.errors import CowslipforkError
 from cowslipfork_lab.demo import run_demo
 from cowslipfork_lab.endpoint import EndpointSettings, run_endpoint
+from cowslipfork_lab.load.command import run_load
 from cowslipfork_lab.relay import run_relay
 from cowslipfork_lab.store import run_store
 
-app = typer.Typer(no_args_is_help=True, add_completion=False)
+app = typer.Typer(
+    no_args_is_help=True, add_completion=False, pretty_exceptions_enable=False
+)
 
 _SAMPLE = Path('samples/hilal')
 _RUN = Path('run/demo')
@@ -77,6 +80,9 @@
     run_until_signal(run_relay())
 
 
+app.command('load')(run_load)
+
+
 @app.command()
 def demo(
     sample: Annotated[Path, typer.Option(help='Deployment.')] = _SAMPLE,
