--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/node.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/node.py
@@ -6,6 +6,7 @@
 import logging
 import signal
 from contextlib import AsyncExitStack, suppress
+from dataclasses import replace
 from functools import partial
 from typing import Final
 from uuid import uuid4
@@ -27,7 +28,8 @@
 )
 from cowslipfork.ids import GroupName, RegionName, VmId
 from cowslipfork.limits import TeamLimits
-from cowslipfork.membership import Place, carrier_of, rank
+from cowslipfork.membership import Member, Place, carrier_of, rank
+from cowslipfork.membership.handover import holders_of
 from cowslipfork.requests import Run
 from cowslipfork.spread.record import VMS_PREFIX
 from cowslipfork.store import Store
@@ -38,6 +40,7 @@
     node_pb2,
     node_pb2_grpc,
 )
+from cowslipfork_proxy import status
 from cowslipfork_proxy.administration import AdminParts, AdminService
 from cowslipfork_proxy.admission import admitting
 from cowslipfork_proxy.callers import CallerSettings, serve_callers
@@ -55,17 +58,9 @@
 from cowslipfork_proxy.probing import probe
 from cowslipfork_proxy.reach import Reach
 from cowslipfork_proxy.routing import Router
-from cowslipfork_proxy.status import (
-    group_statuses,
-    impediments,
-    node_statuses,
-)
 
 log = logging.getLogger(__name__)
 
-#: Seconds between looks at whether this node may carry groups.
-_SETTLE_INTERVAL: Final = 0.25
-
 #: Seconds that gRPC streams get to end at shutdown.
 _GRACE: Final = 1
 
@@ -105,15 +100,23 @@
             grpc.aio.insecure_channel,
         )
         self._fleet = self._join(asyncio.get_running_loop().time())
-        self._carriers = Carriers(partial(carry, self._parts()))
+        self._carriers = Carriers(
+            partial(carry, self._parts()),
+            lambda: self._configuration().limits.drain,
+            self._settle,
+        )
         self._router = Router(
             self._carrier_of,
             self._run_at,
             lambda: self._holdings.configuration.limits.hold,
         )
         self._in_force = asyncio.Event()
-        self._carrying = False
+        self._listen()
+
+    def _listen(self) -> None:
         self._holdings.listen(self._settle)
+        self._fleet.fleet.watch_touch(self._settle)
+        self._fleet.members.watch(self._on_member)
 
     async def run(self) -> None:
         """Serves until told to stop, then drains."""
@@ -126,8 +129,6 @@
             seeds = [f'{host}:{port}' for host, port in settings.peers]
             joined = asyncio.create_task(self._fleet.fleet.run(seeds))
             stack.callback(joined.cancel)
-            current = asyncio.create_task(self._keep_settled())
-            stack.callback(current.cancel)
             if not await self._configured():
                 return
             callers = await serve_callers(
@@ -141,7 +142,10 @@
             log.info('node started', extra={'port': callers.port})
             await self._stop.wait()
             log.info('node draining')
+            self._fleet.fleet.leave()
+            self._settle()
             await callers.drain()
+            await self._carriers.finished()
         log.info('node stopped')
 
     async def _configured(self) -> bool:
@@ -160,23 +164,6 @@
         stopped.cancel()
         return not self._stop.is_set()
 
-    async def _keep_settled(self) -> None:
-        """Gives up what is carried when the node is cut off from all."""
-        while True:
-            await asyncio.sleep(_SETTLE_INTERVAL)
-            if self._may_carry() != self._carrying:
-                self._settle()
-
-    def _may_carry(self) -> bool:
-        """Tells whether this node's view of the fleet can be relied on.
-
-        Before the platform's list was heard a node knows only itself and
-        would take every group for its own.
-        """
-        listed = self._fleet.records.below(VMS_PREFIX)
-        now = asyncio.get_running_loop().time()
-        return bool(listed) and self._fleet.fleet.is_current(now)
-
     def _peer_server(self) -> grpc.aio.Server:
         server = grpc.aio.server()
         node_pb2_grpc.add_CarrierServicer_to_server(
@@ -219,9 +206,9 @@
             vm=self._vm,
             revision=self._holdings.revision,
             store_reachable=self._fleet.fleet.store_age(now) is not None,
-            nodes=node_statuses(self._fleet.members, now),
-            groups=group_statuses(records, carried, self._carrier_of),
-            cannot=impediments(carried),
+            nodes=status.node_statuses(self._fleet.members),
+            groups=status.group_statuses(records, carried, self._carrier_of),
+            cannot=status.impediments(carried),
         )
 
     def _configuration(self) -> Configuration:
@@ -249,15 +236,43 @@
         """Carries the groups that rendezvous gives to this VM."""
         if self._holdings.revision:
             self._in_force.set()
-        self._carrying = self._may_carry()
-        groups = self._holdings.configuration.groups if self._carrying else ()
+        groups = self._holdings.configuration.groups
         self._carriers.settle(
-            group for group in groups if self._carrier_of(group) == self._vm
+            [group for group in groups if self._may_carry(group)],
         )
         for name, carrier in self._carriers.carried.items():
             record = self._holdings.records.get(name)
             if record is not None:
                 carrier.adopt(record)
+        self._tell_carried()
+
+    def _may_carry(self, group: GroupName) -> bool:
+        """Tells whether this node carries a group now.
+
+        A node out of touch carries nothing, and a new carrier waits until
+        the one before has given the group up, so that the limits of its
+        endpoints hold. Before the platform's list was heard a node knows
+        only itself and would take every group for its own.
+        """
+        members = self._fleet.members
+        return (
+            self._carrier_of(group) == self._vm
+            and bool(self._fleet.records.below(VMS_PREFIX))
+            and members.in_touch(asyncio.get_running_loop().time())
+            and not holders_of(group, members.all)
+        )
+
+    def _tell_carried(self) -> None:
+        carries = frozenset(self._carriers.held)
+        own = self._fleet.members.own
+        if own.carries != carries:
+            self._fleet.fleet.tell(replace(own, carries=carries))
+
+    def _on_member(self, before: Member | None, after: Member) -> None:
+        # Another node has given a group up, or has begun to carry it.
+        carried = before.report.carries if before else frozenset()
+        if carried != after.report.carries:
+            self._settle()
 
     def _join(self, now: float) -> FleetParts:
         settings = self._settings
