--- a/packages/cowslipfork-lab/src/cowslipfork_lab/load/experiment.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/load/experiment.py
@@ -26,7 +26,7 @@
 )
 from cowslipfork_lab.load import measure, schema
 from cowslipfork_lab.load.faults import fault_named, primary_of
-from cowslipfork_lab.load.mix import Share, mix_of
+from cowslipfork_lab.load.mix import Share, job_group, mix_of
 from cowslipfork_lab.load.runner import Baseline, Load, LoadSettings
 
 _SETUP_TRIES = 150
@@ -178,26 +178,37 @@
             return None
         bring = fault_named(settings.fault)
         await asyncio.sleep(settings.fault_at)
-        group = self._groups[0]
+        group = job_group(self._mix)
         struck = asyncio.get_running_loop().time()
         await bring(self._cluster, group)
         return measure.Fault(settings.fault, group, struck)
 
     async def _check(self) -> list[Violation]:
-        rows: dict[str, int] = {}
-        final: dict[tuple[str, str], int] = {}
-        for group in self._groups:
-            counts = await self._select(group, schema.JOB_COUNTS)
-            rows.update({token: count for token, count in counts})
-            numbers = await self._select(group, schema.REGISTER_NUMBERS)
-            final.update({(group, str(key)): now for key, now in numbers})
         attempts = self._load.attempts
-        rules = self._rules()
+        jobs = await self._job_counts()
+        registers = await self._register_numbers()
         return [
-            *check_jobs(attempts, rows),
-            *check_registers(attempts, rules, final),
+            *check_jobs(attempts, jobs),
+            *check_registers(attempts, self._rules(), registers),
         ]
 
+    async def _job_counts(self) -> dict[str, int]:
+        return {
+            token: count
+            for group in self._groups
+            for token, count in await self._select(group, schema.JOB_COUNTS)
+        }
+
+    async def _register_numbers(self) -> dict[tuple[str, str], int]:
+        return {
+            (group, str(key)): number
+            for group in self._groups
+            for key, number in await self._select(
+                group,
+                schema.REGISTER_NUMBERS,
+            )
+        }
+
     async def _select(self, group: GroupName, sql: str) -> Rows:
         primary = await primary_of(self._cluster, group)
         return await self._cluster.select(primary, sql)
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/load/mix.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/load/mix.py
@@ -75,6 +75,19 @@
 _MIXES = MappingProxyType({'punjab': _HILAL, 'cairo': _NILEBEAN})
 
 
+def job_group(mix: Sequence[Share]) -> GroupName:
+    """Names the group that faults hit: the first that takes jobs.
+
+    Args:
+        mix: kinds of requests.
+
+    Returns:
+        The group.
+    """
+    shares = sorted(mix, key=lambda share: share.action != Action.JOB)
+    return shares[0].groups[0]
+
+
 def mix_of(site: str, groups: Sequence[GroupName]) -> tuple[Share, ...]:
     """Gives the mix of a site, without the groups that don't run.
 
