Hand-over waits for statements, not for transactions

Each carrier uses half of an endpoint's connections, so both may hold some at once: the group is freed when statements outside transactions and their rows have ended, transactions finish where they began. Rows still being read now count as in flight: before, a group's connections were closed under a streaming answer. A group that comes back meanwhile goes on with its old connections.

--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/carrier/_grants.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/carrier/_grants.py
@@ -154,6 +154,11 @@
         """Slots of the endpoints."""
         return self._queue
 
+    @property
+    def lent(self) -> int:
+        """Connections in use."""
+        return sum(pool.lent for pool in self._pools.values())
+
     def abandon(self, term: Term) -> None:
         """Ends statements that still run in an earlier term.
 
--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/carrier/carriers.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/carrier/carriers.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections import Counter
 from collections.abc import Callable, Coroutine, Iterable, Set
 from dataclasses import dataclass
 from typing import Any, Final
@@ -27,6 +26,35 @@
     supervise: Callable[[], Coroutine[Any, Any, None]]
 
 
+@dataclass(slots=True, eq=False)
+class _Held:
+    """A group whose connections are open here.
+
+    Attributes:
+        supervised: samples and supervises the group.
+        finishing: lets what has begun finish, once the group is given up.
+        running: statements outside transactions without an outcome.
+        freed: whether another node may carry the group.
+    """
+
+    carrier: GroupCarrier
+    supervised: asyncio.Task[None]
+    finishing: asyncio.Future[None]
+    running: int = 0
+    freed: bool = False
+
+    @property
+    def busy(self) -> bool:
+        """Whether statements outside transactions run or stream rows."""
+        transactions = self.carrier.open_transactions
+        return self.running > 0 or self.carrier.lent > transactions
+
+    def end(self) -> None:
+        """Closes the group's connections."""
+        self.supervised.cancel()
+        self.carrier.close()
+
+
 class Carriers:
     """Starts and stops carrying as membership changes."""
 
@@ -42,21 +70,26 @@
             make: wires the carrier of a group; None for an unknown group.
             longest_finish: gives the seconds that statements in flight get
                 when a group moves to another node.
-            stopped: called when a group's connections are closed.
+            stopped: called when another node may carry a group.
         """
         self._make = make
         self._longest_finish = longest_finish
         self._stopped = stopped
-        self._carried: dict[GroupName, Carried] = {}
-        self._retiring: dict[GroupName, Carried] = {}
-        self._running: Counter[GroupName] = Counter()
-        self._tasks: dict[GroupName, asyncio.Task[None]] = {}
-        self._finishing: dict[GroupName, asyncio.Task[None]] = {}
+        self._carried: dict[GroupName, _Held] = {}
+        self._retiring: dict[GroupName, _Held] = {}
 
     @property
     def held(self) -> Set[GroupName]:
-        """Groups whose connections are open here, also while they finish."""
-        return self._carried.keys() | self._retiring.keys()
+        """Groups that no other node may carry yet.
+
+        A group that was given up counts until its last statement outside a
+        transaction has ended. Transactions finish here while the next
+        carrier begins: each uses its own share of the connections.
+        """
+        finishing = {
+            group for group, item in self._retiring.items() if not item.freed
+        }
+        return self._carried.keys() | finishing
 
     @property
     def carried(self) -> dict[GroupName, GroupCarrier]:
@@ -72,21 +105,21 @@
         names = set(wanted)
         for group in self._carried.keys() - names:
             self._retire(group)
-        for missing in names - self.held:
+        for missing in names - self._carried.keys():
             self._start(missing)
 
     def close(self) -> None:
         """Stops carrying everything at once."""
-        for finishing in self._finishing.values():
-            finishing.cancel()
-        for group, item in {**self._carried, **self._retiring}.items():
-            self._end(group, item)
+        for item in (*self._carried.values(), *self._retiring.values()):
+            item.finishing.cancel()
+            item.end()
         self._carried.clear()
         self._retiring.clear()
 
     async def finished(self) -> None:
         """Waits until no retiring group has anything left to finish."""
-        await asyncio.gather(*self._finishing.values())
+        finishing = [item.finishing for item in self._retiring.values()]
+        await asyncio.gather(*finishing)
 
     async def run(self, request: Request) -> Outcome[Answer]:
         """Serves a statement of a carried group.
@@ -104,39 +137,56 @@
                 _RETRY_AFTER_MS,
                 f'group {request.group} is not carried here',
             )
-        self._running[request.group] += 1
+        if request.transaction is not None:
+            return await item.carrier.run(request)
+        item.running += 1
         try:
             return await item.carrier.run(request)
         finally:
-            self._running[request.group] -= 1
+            item.running -= 1
 
-    def _finisher(self, request: Request) -> Carried | None:
+    def _finisher(self, request: Request) -> _Held | None:
         # A transaction ends where it began; nothing new begins there.
         if request.transaction is None or request.operation is Operation.BEGIN:
             return None
         return self._retiring.get(request.group)
 
     def _start(self, group: GroupName) -> None:
-        item = self._make(group)
-        if item is not None:
-            self._carried[group] = item
-            self._tasks[group] = asyncio.create_task(item.supervise())
+        kept = self._retiring.pop(group, None)
+        if kept is not None:
+            # It came back before it was finished: it simply goes on.
+            kept.finishing.cancel()
+            kept.freed = False
+            self._carried[group] = kept
+            return
+        made = self._make(group)
+        if made is not None:
+            task = asyncio.create_task(made.supervise())
+            nothing: asyncio.Future[None] = asyncio.Future()
+            self._carried[group] = _Held(made.carrier, task, nothing)
 
     def _retire(self, group: GroupName) -> None:
-        self._retiring[group] = self._carried.pop(group)
-        self._finishing[group] = asyncio.create_task(self._finish(group))
-
-    async def _finish(self, group: GroupName) -> None:
-        item = self._retiring[group]
-        for _ in range(round(self._longest_finish() / _FINISH_POLL)):
-            if not (self._running[group] or item.carrier.open_transactions):
-                break
-            await asyncio.sleep(_FINISH_POLL)
-        self._end(group, item)
-        self._retiring.pop(group)
-        self._finishing.pop(group)
+        item = self._carried.pop(group)
+        self._retiring[group] = item
+        item.finishing = asyncio.create_task(self._finish(group, item))
+
+    async def _finish(self, group: GroupName, item: _Held) -> None:
+        until = asyncio.get_running_loop().time() + self._longest_finish()
+        await _poll_until(until, lambda: not item.busy)
+        item.freed = True
         self._stopped()
-
-    def _end(self, group: GroupName, item: Carried) -> None:
-        self._tasks.pop(group).cancel()
-        item.carrier.close()
+        await _poll_until(
+            until,
+            lambda: not item.carrier.open_transactions,
+        )
+        del self._retiring[group]
+        item.end()
+
+
+async def _poll_until(until: float, done: Callable[[], bool]) -> None:
+    """Waits for a condition, at most until a loop time in seconds."""
+    loop = asyncio.get_running_loop()
+    while True:
+        if done() or loop.time() >= until:
+            return
+        await asyncio.sleep(_FINISH_POLL)
--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/carrier/group_carrier.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/carrier/group_carrier.py
@@ -111,6 +111,11 @@
         """Slots and connections of the group's endpoints."""
         return self._grants
 
+    @property
+    def lent(self) -> int:
+        """Connections in use, also those whose rows are still read."""
+        return self._grants.lent
+
     @property
     def open_transactions(self) -> int:
         """Transactions that have begun and not ended."""
--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/node.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/node.py
@@ -43,7 +43,11 @@
 from cowslipfork_proxy import status
 from cowslipfork_proxy.administration import AdminParts, AdminService
 from cowslipfork_proxy.admission import admitting
-from cowslipfork_proxy.callers import CallerSettings, serve_callers
+from cowslipfork_proxy.callers import (
+    CallerServer,
+    CallerSettings,
+    serve_callers,
+)
 from cowslipfork_proxy.carrier import Carriers, CarryingParts, carry
 from cowslipfork_proxy.endpoints import Login
 from cowslipfork_proxy.forwarding import CarrierService
@@ -120,26 +124,11 @@
 
     async def run(self) -> None:
         """Serves until told to stop, then drains."""
-        gauge(self._meter, 'configuration_revision', self._revision)
-        settings = self._settings
         async with AsyncExitStack() as stack:
-            server = self._peer_server()
-            await server.start()
-            stack.push_async_callback(server.stop, _GRACE)
-            seeds = [f'{host}:{port}' for host, port in settings.peers]
-            joined = asyncio.create_task(self._fleet.fleet.run(seeds))
-            stack.callback(joined.cancel)
+            await self._meet_others(stack)
             if not await self._configured():
                 return
-            callers = await serve_callers(
-                CallerSettings(settings.host, settings.caller_port),
-                admitting(self._router.run, TeamLimits(), self._configuration),
-                self._configuration,
-            )
-            stack.push_async_callback(callers.close)
-            stack.push_async_callback(self._reach.close)
-            stack.callback(self._carriers.close)
-            log.info('node started', extra={'port': callers.port})
+            callers = await self._meet_callers(stack)
             await self._stop.wait()
             log.info('node draining')
             self._fleet.fleet.leave()
@@ -148,6 +137,28 @@
             await self._carriers.finished()
         log.info('node stopped')
 
+    async def _meet_others(self, stack: AsyncExitStack) -> None:
+        """Starts to answer other nodes and operators, and to ask them."""
+        server = self._peer_server()
+        await server.start()
+        stack.push_async_callback(server.stop, _GRACE)
+        seeds = [f'{host}:{port}' for host, port in self._settings.peers]
+        joined = asyncio.create_task(self._fleet.fleet.run(seeds))
+        stack.callback(joined.cancel)
+        stack.push_async_callback(self._reach.close)
+        stack.callback(self._carriers.close)
+
+    async def _meet_callers(self, stack: AsyncExitStack) -> CallerServer:
+        gauge(self._meter, 'configuration_revision', self._revision)
+        callers = await serve_callers(
+            CallerSettings(self._settings.host, self._settings.caller_port),
+            admitting(self._router.run, TeamLimits(), self._configuration),
+            self._configuration,
+        )
+        stack.push_async_callback(callers.close)
+        log.info('node started', extra={'port': callers.port})
+        return callers
+
     async def _configured(self) -> bool:
         """Waits for a configuration, without which no caller can log in.
 
