--- a/packages/cowslipfork-lab/src/cowslipfork_lab/measure/__init__.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/measure/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements behind the capacity page."""
+"""Measurements of single parts, each a command of its own."""
