--- a/packages/cowslipfork-lab/src/cowslipfork_lab/measure/full_size.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/measure/full_size.py
@@ -6,6 +6,7 @@
 import tracemalloc
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, replace
+from functools import partial
 from typing import Final
 
 from google.protobuf.message import Message
@@ -18,6 +19,7 @@
     VmId,
 )
 from cowslipfork.membership import ListedVm, Members, Place, Report, carrier_of
+from cowslipfork.membership.carrier_table import CarrierTable
 from cowslipfork.membership.link import Link
 from cowslipfork.membership.member import MemberState
 from cowslipfork.membership.memory import MemoryNetwork, MemoryStream
@@ -91,9 +93,22 @@
             for number in range(GROUPS // REGIONS)
         ],
     )
+    table = CarrierTable(own.region)
+    table.set_places(home)
+    for group in range(GROUPS // REGIONS):
+        table.carrier_of(GroupName(f'group-{group}'))
+    yield _time(
+        'a VM gone and come back in the table of carriers',
+        partial(_go_and_come, table, home),
+    )
     yield from _messages(members, holdings)
 
 
+def _go_and_come(table: CarrierTable, home: list[Place]) -> None:
+    table.set_places(home[1:])
+    table.set_places(home)
+
+
 def _messages(members: Members, holdings: Holdings) -> Iterator[Step]:
     network = MemoryNetwork()
     link = Link(members, holdings, MemoryStream(network, 'a', 'b'))
