Lab: lost connections are told apart, every question is bounded

Found by kill-node: asyncmy answers 'Not connected' with number 0 after a broken connection; the caller counted it as refused and kept the connection. A process stopped by SIGTERM ended with a traceback of its cancellation.

--- a/packages/cowslipfork-lab/src/cowslipfork_lab/cli.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/cli.py
@@ -7,6 +7,7 @@
 import signal
 import sys
 from collections.abc import Coroutine
+from contextlib import suppress
 from pathlib import Path
 from typing import Annotated, Any
 
@@ -110,4 +111,5 @@
     task = asyncio.create_task(work)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, task.cancel)
-    await asyncio.gather(task, return_exceptions=False)
+    with suppress(asyncio.CancelledError):
+        await task
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/cluster/controls.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/cluster/controls.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 from collections.abc import Sequence
 from typing import Any
@@ -15,6 +16,8 @@
 from cowslipfork_lab.cluster.process import ChildProcess
 from cowslipfork_lab.relay import Rule
 
+#: Bound of a question to an endpoint, in seconds.
+ANSWER_SECONDS = 10.0
 _STATUS_COLUMNS = (
     'endpoint',
     'role',
@@ -34,19 +37,23 @@
 
     Returns:
         Rows of the answer.
+
+    Raises:
+        TimeoutError: no answer.
     """
-    connection = await asyncmy.connect(
-        host=LOOPBACK,
-        port=port,
-        user='lab',
-        autocommit=True,
-    )
-    try:
-        async with connection.cursor() as cursor:
-            await cursor.execute(sql)
-            return await cursor.fetchall()
-    finally:
-        connection.close()
+    async with asyncio.timeout(ANSWER_SECONDS):
+        connection = await asyncmy.connect(
+            host=LOOPBACK,
+            port=port,
+            user='lab',
+            autocommit=True,
+        )
+        try:
+            async with connection.cursor() as cursor:
+                await cursor.execute(sql)
+                return await cursor.fetchall()
+        finally:
+            connection.close()
 
 
 async def set_endpoint_fault(port: int, name: str, setting: object) -> None:
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/load/caller.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/load/caller.py
@@ -174,7 +174,7 @@
                 rows = await self._query(sql)
         except MySQLError as error:
             failure = classify(error.args[0], str(error.args[-1]))
-            if failure.errno in {_LOST, _UNREACHABLE}:
+            if failure.disconnected:
                 self.close()
                 self._node += 1
             return failure
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/load/endings.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/load/endings.py
@@ -8,7 +8,8 @@
 from cowslipfork_lab.history import Ending
 
 #: Numbers of the driver and of servers that never ran the statement.
-_NEVER_RUN = frozenset((1040, 1290, 4701, 4702, 2003))
+_NEVER_RUN = frozenset((0, 1040, 1290, 4701, 4702, 2003))
+_NOT_CONNECTED = 0
 _FIRST_OF_DRIVER = 2000
 _LAST_OF_DRIVER = 2999
 _RETRY_AFTER = re.compile(r'retry after (\d+) ms')
@@ -29,6 +30,12 @@
     errno: int
     text: str
 
+    @property
+    def disconnected(self) -> bool:
+        """Whether the connection is of no more use."""
+        lost = _FIRST_OF_DRIVER <= self.errno <= _LAST_OF_DRIVER
+        return lost or self.errno == _NOT_CONNECTED
+
 
 def retry_after(text: str) -> float | None:
     """Reads when to come back from an error text.
@@ -57,6 +64,7 @@
         return Failure(Ending.NOT_RUN, errno, text)
     if text.startswith('unknown'):
         return Failure(Ending.UNKNOWN, errno, text)
-    if _FIRST_OF_DRIVER <= errno <= _LAST_OF_DRIVER:
+    refused = Failure(Ending.REFUSED, errno, text)
+    if refused.disconnected:
         return Failure(Ending.UNKNOWN, errno, text)
-    return Failure(Ending.REFUSED, errno, text)
+    return refused
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/load/experiment.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/load/experiment.py
@@ -30,6 +30,7 @@
 from cowslipfork_lab.load.runner import Baseline, Load, LoadSettings
 
 _SETUP_TRIES = 150
+_SETUP_SECONDS = 10.0
 _SETUP_PAUSE_SECONDS = 0.2
 
 
@@ -139,7 +140,8 @@
             schema.insert_registers(self._load.registers[group]),
         )
         for _ in range(_SETUP_TRIES):
-            failure = await self._run_all(group, team, statements)
+            async with asyncio.timeout(_SETUP_SECONDS):
+                failure = await self._run_all(group, team, statements)
             if failure is None:
                 return
             await asyncio.sleep(_SETUP_PAUSE_SECONDS)
--- a/packages/cowslipfork-lab/tests/load/test_load.py
+++ b/packages/cowslipfork-lab/tests/load/test_load.py
@@ -74,11 +74,15 @@
         (4701, 'endpoint is fenced in term 2', Ending.NOT_RUN),
         (1040, 'Too many connections', Ending.NOT_RUN),
         (2013, 'Lost connection to MySQL server', Ending.UNKNOWN),
+        (2006, 'MySQL server has gone away', Ending.UNKNOWN),
+        (0, 'Not connected', Ending.NOT_RUN),
         (1062, 'Duplicate entry', Ending.REFUSED),
     ],
 )
 def test_outcomes_of_errors(errno, text, ending):
-    assert classify(errno, text).ending == ending
+    failure = classify(errno, text)
+    assert failure.ending == ending
+    assert failure.disconnected == (errno in {0, 2006, 2013})
 
 
 def test_retry_after_is_read_from_the_text():
