--- a/packages/cowslipfork-lab/src/cowslipfork_lab/cli.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/cli.py
@@ -19,6 +19,7 @@
 from cowslipfork_lab.endpoint import EndpointSettings, run_endpoint
 from cowslipfork_lab.load.command import run_load
 from cowslipfork_lab.relay import run_relay
+from cowslipfork_lab.serve import serve
 from cowslipfork_lab.store import run_store
 
 app = typer.Typer(
@@ -27,6 +28,7 @@
 
 _SAMPLE = Path('samples/hilal')
 _RUN = Path('run/demo')
+_SERVED = Path('run/serve')
 _PRIMARY_HELP = 'host:port of the first primary to follow; self to be it.'
 
 
@@ -97,6 +99,16 @@
         raise typer.Exit(1) from error
 
 
+@app.command('serve')
+def serve_cluster(
+    sample: Annotated[Path, typer.Option(help='Deployment.')] = _SAMPLE,
+    directory: Annotated[Path, typer.Option(help='Logs go here.')] = _SERVED,
+    first_port: Annotated[int, typer.Option(envvar='SERVE_PORT')] = 0,
+) -> None:
+    """Starts everything on loopback and keeps it until ctrl-C."""
+    uvloop.run(serve(sample, directory, first_port))
+
+
 def run_until_signal(work: Coroutine[Any, Any, None]) -> None:
     """Runs a server until SIGTERM or ctrl-C.
 
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/cluster/cluster.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/cluster/cluster.py
@@ -236,6 +236,18 @@
         """Gives the port by which others reach an endpoint or the store."""
         return self._ports[name]
 
+    def endpoint_ports(self) -> list[tuple[EndpointId, int, int]]:
+        """Lists endpoints with their MySQL port and their control port."""
+        return [
+            (
+                endpoint.name,
+                self._ports[endpoint.name],
+                self._control_ports[endpoint.name],
+            )
+            for group in self._plan.group_names
+            for endpoint in self._plan.endpoints(group)
+        ]
+
     async def _start_store(self) -> None:
         port = free_ports(1)[0]
         child = await self._processes.start_lab(STORE, STORE, f'--port={port}')
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/cluster/node.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/cluster/node.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import configparser
-from dataclasses import asdict, dataclass
+from dataclasses import asdict, dataclass, replace
 from itertools import cycle, islice
 from pathlib import Path
 
@@ -78,15 +78,18 @@
     """Spreads a plan's nodes over the failure domains, with free ports."""
     domains = cycle(plan.configuration.site.failure_domains)
     ports = iter(free_ports(plan.nodes * _PORTS_OF_NODE))
+    free = [
+        NodePorts(*islice(ports, _PORTS_OF_NODE)) for _ in range(plan.nodes)
+    ]
+    if plan.first_port:
+        free = [
+            replace(chosen, caller_port=plan.first_port + index)
+            for index, chosen in enumerate(free)
+        ]
     return tuple(
-        Node(
-            VmId(f'proxy-{number}'),
-            domain,
-            NodePorts(*islice(ports, _PORTS_OF_NODE)),
-        )
-        for number, domain in zip(
-            range(1, plan.nodes + 1),
-            domains,
-            strict=False,
+        Node(VmId(f'proxy-{number}'), domain, chosen)
+        for number, (domain, chosen) in enumerate(
+            zip(domains, free, strict=False),
+            start=1,
         )
     )
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/cluster/plan.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/cluster/plan.py
@@ -45,6 +45,8 @@
         site: the site.
         nodes: number of nodes, spread over the failure domains.
         groups: groups to run; empty for all.
+        first_port: port of the first node for callers, the others follow;
+            0 lets the driver choose.
     """
 
     base: str
@@ -52,6 +54,7 @@
     site: SiteName
     nodes: int = 5
     groups: tuple[GroupName, ...] = ()
+    first_port: int = 0
 
     @classmethod
     def of_sample(
