Peer port with TLS and the nodes' secret; drains are passed on to their VM

The node opened its peer port and channels without TLS and without the secret that its settings name; peer_server and peer_channel take both from the settings, and node.py uses them. A drain of another VM was NOT_FOUND at every node but its own; it is now passed on with the operator's credential, and a VM that does not answer is UNAVAILABLE with its name. A certificate without its key is a problem of the node's file now.

--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/administration/identity.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/administration/identity.py
@@ -14,6 +14,7 @@
 #: Name in the audit trail of whoever accepts the first configuration.
 BOOTSTRAP: Final = 'bootstrap'
 
+_HEADER: Final = 'authorization'
 _SCHEME: Final = 'bearer '
 
 
@@ -114,11 +115,25 @@
         raise Forbidden(identity.name, f'role {role.value}')
 
 
+def credential(
+    metadata: Iterable[tuple[str, str | bytes]] | None,
+) -> tuple[tuple[str, str | bytes], ...]:
+    """Takes the credential out of a call's metadata, to pass it on.
+
+    Args:
+        metadata: of the call.
+
+    Returns:
+        Metadata of the call to another node.
+    """
+    return tuple(pair for pair in metadata or () if pair[0] == _HEADER)
+
+
 def _bearer(metadata: Iterable[tuple[str, str | bytes]]) -> str:
     sent = [
         content
         for key, content in metadata
-        if key == 'authorization' and isinstance(content, str)
+        if key == _HEADER and isinstance(content, str)
     ]
     if len(sent) != 1 or not sent[0].lower().startswith(_SCHEME):
         raise NoCredential('metadata "authorization: Bearer ..." is missing')
--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/administration/servicer.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/administration/servicer.py
@@ -31,6 +31,7 @@
     Forbidden,
     Identity,
     NoCredential,
+    credential,
     identify,
     require,
 )
@@ -38,13 +39,34 @@
 log = logging.getLogger(__name__)
 
 
-class NotFound(CowslipforkError):
+class CallFailed(CowslipforkError):
+    """A call that this service cannot serve."""
+
+
+class NotFound(CallFailed):
     """What the call names does not exist."""
 
 
+class VmSilent(CallFailed):
+    """Another VM did not do what it was told."""
+
+    def __init__(self, vm: VmId, cause: str) -> None:
+        """Remembers which.
+
+        Args:
+            vm: the VM.
+            cause: its answer, or what failed.
+        """
+        super().__init__(f'VM {vm}: {cause}')
+        self.vm = vm
+
+
 #: Most audit records in one reply.
 MAX_HISTORY: Final = 500
 
+#: Bound of a call passed on to another VM, in seconds.
+FORWARD_TIMEOUT: Final = 5
+
 _DEFAULT_HISTORY: Final = 20
 _RETRY_AFTER: Final = (('retry-after-ms', '1000'),)
 
@@ -54,6 +76,7 @@
         NotFound: grpc.StatusCode.NOT_FOUND,
         Forbidden: grpc.StatusCode.PERMISSION_DENIED,
         StoreDown: grpc.StatusCode.UNAVAILABLE,
+        VmSilent: grpc.StatusCode.UNAVAILABLE,
         RecordUnreadable: grpc.StatusCode.DATA_LOSS,
     },
 )
@@ -69,7 +92,8 @@
         changes: accepted configurations.
         configuration: gives the one in force at the node.
         status: describes the node and all that it knows of others.
-        drain: starts the drain of a VM; False if there is no such VM.
+        drain: starts the drain of the node itself.
+        admin_of: reaches the service of another VM; None: no such VM.
         bootstrap_hash: of the credential for the first configuration.
     """
 
@@ -78,7 +102,8 @@
     changes: ChangeLog
     configuration: Callable[[], Configuration]
     status: Callable[[], admin_pb2.StatusReply]
-    drain: Callable[[VmId], Awaitable[bool]]
+    drain: Callable[[], Awaitable[None]]
+    admin_of: Callable[[VmId], admin_pb2_grpc.AdminStub | None]
     bootstrap_hash: str = ''
 
 
@@ -168,22 +193,35 @@
         request: admin_pb2.DrainRequest,
         context: Any,
     ) -> admin_pb2.DrainReply:
-        """Starts the drain of a VM."""
+        """Starts the drain of a VM; another one is told under the same name."""
         async with self._caller(context, Role.OPERATOR) as caller:
             _refuse_first_only(caller)
             vm = VmId(request.vm or self._parts.vm)
-            started = await self._parts.drain(vm)
             log.info(
                 'drain asked for',
-                extra={
-                    'operator': caller.name,
-                    'drained': vm,
-                    'started': started,
-                },
+                extra={'operator': caller.name, 'drained': vm},
+            )
+            if vm == self._parts.vm:
+                await self._parts.drain()
+                return admin_pb2.DrainReply(started=True)
+            return await self._forward_drain(vm, context)
+
+    async def _forward_drain(
+        self,
+        vm: VmId,
+        context: Any,
+    ) -> admin_pb2.DrainReply:
+        admin: Any = self._parts.admin_of(vm)
+        if admin is None:
+            raise NotFound(f'no VM {vm}')
+        try:
+            return await admin.Drain(
+                admin_pb2.DrainRequest(vm=vm),
+                timeout=FORWARD_TIMEOUT,
+                metadata=credential(context.invocation_metadata()),
             )
-            if not started:
-                raise NotFound(f'no VM {vm}')
-            return admin_pb2.DrainReply(started=True)
+        except grpc.aio.AioRpcError as error:
+            raise VmSilent(vm, error.details() or error.code().name) from error
 
     @asynccontextmanager
     async def _caller(
@@ -203,7 +241,7 @@
         except (NoCredential, Forbidden) as refusal:
             _log_refusal(context, refusal)
             await _abort(context, refusal)
-        except (NotFound, StoreDown, RecordUnreadable) as failure:
+        except (CallFailed, StoreDown, RecordUnreadable) as failure:
             await _abort(context, failure)
 
 
--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/node.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/node.py
@@ -34,7 +34,12 @@
 from cowslipfork.store import Store
 from cowslipfork.store.etcd import EtcdStore
 from cowslipfork.wire import admin_pb2, admin_pb2_grpc, node_pb2_grpc
-from cowslipfork_proxy.administration import AdminParts, AdminService
+from cowslipfork_proxy.administration import (
+    AdminParts,
+    AdminService,
+    peer_channel,
+    peer_server,
+)
 from cowslipfork_proxy.admission import admitting
 from cowslipfork_proxy.callers import CallerSettings, serve_callers
 from cowslipfork_proxy.carrier import Carriers, CarryingParts, carry
@@ -117,7 +122,7 @@
         log.info('node stopped')
 
     def _peer_server(self) -> grpc.aio.Server:
-        server = grpc.aio.server()
+        server = peer_server(self._settings)
         node_pb2_grpc.add_CarrierServicer_to_server(
             CarrierService(self._carriers.run),
             server,
@@ -135,20 +140,21 @@
                     configuration=self._configuration,
                     status=self._status,
                     drain=self._drain,
+                    admin_of=self._admin_of,
                     bootstrap_hash=self._settings.bootstrap_token_hash,
                 ),
             ),
             server,
         )
-        settings = self._settings
-        server.add_insecure_port(f'{settings.host}:{settings.peer_port}')
         return server
 
-    async def _drain(self, vm: VmId) -> bool:
-        if vm != self._vm:
-            return False
+    async def _drain(self) -> None:
         self._stop.set()
-        return True
+
+    def _admin_of(self, vm: VmId) -> admin_pb2_grpc.AdminStub | None:
+        if vm not in self._holdings.neighbours:
+            return None
+        return admin_pb2_grpc.AdminStub(self._channel(vm))
 
     def _status(self) -> admin_pb2.StatusReply:
         records = [
@@ -196,7 +202,7 @@
         channel = self._channels.get(vm)
         if channel is None:
             address = self._holdings.neighbours[vm].address
-            channel = grpc.aio.insecure_channel(address)
+            channel = peer_channel(self._settings, address)
             self._channels[vm] = channel
         return channel
 
--- a/packages/cowslipfork/src/cowslipfork/configuration/node.py
+++ b/packages/cowslipfork/src/cowslipfork/configuration/node.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from dataclasses import dataclass
 from enum import Enum, unique
 
@@ -10,8 +11,12 @@
 from cowslipfork.configuration import _address_readers as address_readers
 from cowslipfork.configuration import _readers as readers
 from cowslipfork.configuration._build import Builder
-from cowslipfork.configuration._ini import read_ini
-from cowslipfork.configuration.problems import Problems
+from cowslipfork.configuration._ini import IniFile, read_ini
+from cowslipfork.configuration.problems import (
+    Problem,
+    ProblemKind,
+    Problems,
+)
 from cowslipfork.configuration.schema import Key, Section
 from cowslipfork.ids import FailureDomain, SiteName, VmId
 
@@ -64,6 +69,16 @@
     bootstrap_token_hash: str = ''
 
 
+#: A key and another that it makes no sense without.
+_TOGETHER = (
+    ('tls_certificate', 'tls_key'),
+    ('tls_key', 'tls_certificate'),
+    ('peer_certificate', 'peer_key'),
+    ('peer_key', 'peer_certificate'),
+    ('peer_certificate', 'peer_authority'),
+    ('peer_authority', 'peer_certificate'),
+)
+
 _PORT = readers.integer(0, 65535)
 _PORT_FORM = '0 to 65535'
 
@@ -140,7 +155,26 @@
     ini = read_ini(text, file)
     builder = Builder((NODE,))
     built = builder.build(ini.sections, {})
-    found = (*ini.problems, *builder.problems)
+    found = (
+        *ini.problems,
+        *builder.problems,
+        *_lone_halves(ini),
+    )
     if found:
         return Error(Problems(found))
     return Ok(built[0].made)
+
+
+def _lone_halves(ini: IniFile) -> Iterator[Problem]:
+    """Finds certificates without keys and the like."""
+    section = ini.sections.get('node')
+    keys = {} if section is None else section.keys
+    for key, other in _TOGETHER:
+        if key in keys and other not in keys:
+            yield Problem(
+                ini.name,
+                'node',
+                key,
+                f'needs {other} as well',
+                ProblemKind.CONTRADICTION,
+            )
--- a/packages/cowslipfork/tests/configuration/test_node.py
+++ b/packages/cowslipfork/tests/configuration/test_node.py
@@ -27,3 +27,12 @@
 
 def test_an_empty_file_lacks_its_section():
     assert node_settings('').error.problems[0].section == 'node'
+
+
+def test_half_a_certificate_is_a_contradiction():
+    text = (SAMPLES / 'hilal' / 'node.ini').read_text()
+    problems = node_settings(f'{text}peer_key = a\ntls_key = b\n').error
+    assert [(p.key, p.text) for p in problems.problems] == [
+        ('tls_key', 'needs tls_certificate as well'),
+        ('peer_key', 'needs peer_certificate as well'),
+    ]
