--- a/packages/cowslipfork-proxy/tests/administration/test_peer_port.py
+++ b/packages/cowslipfork-proxy/tests/administration/test_peer_port.py
@@ -21,7 +21,7 @@
 
 class Membership(node_pb2_grpc.MembershipServicer):
     async def Probe(self, request, context):
-        return node_pb2.ProbeReply()
+        return node_pb2.ProbeReply(result=node_pb2.PROBE_RESULT_REACHED)
 
 
 @pytest.fixture
