Callers: tests for a denied caller and a commit that was not run

Cause: taking out one line at a time (12 places) left two unseen by any test: the end of a denied caller's connection, and the ROLLBACK that frees a transaction whose COMMIT was not run. Both are now caught (trial runs on this tree, restored after each).

--- a/packages/cowslipfork-proxy/tests/callers/test_login.py
+++ b/packages/cowslipfork-proxy/tests/callers/test_login.py
@@ -8,6 +8,7 @@
 from cowslipfork.ids import TeamName
 from cowslipfork.requests import Operation
 
+from .by_hand import talk_to
 from .drivers import asyncmy_connection, with_connector, with_pymysql
 
 
@@ -40,6 +41,13 @@
     assert not await with_pymysql(server, ask)
 
 
+async def test_a_denied_caller_is_cut_off(server, run):
+    reader, writer = await talk_to(server, password='wrong')
+    writer.write(b'\x01\x00\x00\x00\x0e')
+    assert await reader.read() == b''
+    writer.close()
+
+
 async def test_connector_hears_that_it_is_denied(server):
     with pytest.raises(Exception, match='Access denied'):
         await with_connector(server, ask, password='wrong')
--- a/packages/cowslipfork-proxy/tests/callers/test_transactions.py
+++ b/packages/cowslipfork-proxy/tests/callers/test_transactions.py
@@ -123,6 +123,19 @@
     assert run.requests[-1].marks is None
 
 
+async def test_a_commit_that_was_not_run_frees_the_connection(server, run):
+    run.reply('COMMIT', NotRun(Reason.QUEUE_FULL, 5))
+
+    def talk(connection):
+        return tell(connection, 'BEGIN', 'COMMIT', 'SELECT a FROM t')
+
+    assert await with_pymysql(server, talk) == [0, 4703, 0]
+    begun, _, released, last = run.requests
+    assert released.sql == 'ROLLBACK'
+    assert released.transaction == begun.transaction
+    assert last.transaction is None
+
+
 async def test_begin_that_fails_opens_nothing(server, run):
     run.reply('BEGIN', NotRun(Reason.NO_PRIMARY, 100))
 
