--- /dev/null
+++ b/packages/cowslipfork-proxy/tests/carrier/test_carriers.py
@@ -0,0 +1,132 @@
+import asyncio
+from types import SimpleNamespace
+
+import pytest
+
+from cowslipfork.ids import GroupName, TransactionId
+from cowslipfork.outcomes import Done, NotRun
+from cowslipfork.requests import Operation
+from cowslipfork_proxy.carrier.carriers import Carried, Carriers
+
+GROUP = GroupName('orders')
+
+
+class FakeCarrier:
+    def __init__(self):
+        self.open_transactions = 0
+        self.lent = 0
+        self.closed = False
+        self.release = asyncio.Event()
+
+    async def run(self, request):
+        await self.release.wait()
+        return Done(not self.closed)
+
+    def close(self):
+        self.closed = True
+
+    async def turn(self):
+        await asyncio.sleep(0.02)
+
+    async def until(self, happened):
+        while not happened():
+            await self.turn()
+
+
+async def supervise():
+    await asyncio.Event().wait()
+
+
+def statement(operation=Operation.READ, transaction=None):
+    return SimpleNamespace(
+        group=GROUP,
+        operation=operation,
+        transaction=transaction and TransactionId(transaction),
+    )
+
+
+@pytest.fixture
+async def carrying():
+    carrier = FakeCarrier()
+    stopped = []
+    carriers = Carriers(
+        lambda group: Carried(carrier, supervise),
+        lambda: 5,
+        lambda: stopped.append(GROUP),
+    )
+    carriers.settle([GROUP])
+    yield carriers, carrier, stopped
+    carriers.close()
+
+
+async def test_group_moves_once_nothing_outside_transactions_runs(carrying):
+    carriers, carrier, stopped = carrying
+    carrier.open_transactions = carrier.lent = 1
+    running = asyncio.create_task(carriers.run(statement()))
+    await asyncio.sleep(0)
+    carriers.settle([])
+    refused = await carriers.run(statement())
+    begin = await carriers.run(statement(Operation.BEGIN, 't2'))
+
+    assert isinstance(refused, NotRun)
+    assert isinstance(begin, NotRun)
+    assert carriers.held == {GROUP}
+    assert not stopped
+
+    carrier.release.set()
+    await carrier.until(lambda: stopped)
+    assert not carriers.held
+    commit = await carriers.run(statement(Operation.COMMIT, 't1'))
+    assert commit == await running == Done(True)
+    assert not carrier.closed
+
+    carrier.open_transactions = carrier.lent = 0
+    await carriers.finished()
+    assert carrier.closed
+    assert stopped == [GROUP]
+
+
+async def test_rows_still_read_keep_the_group(carrying):
+    carriers, carrier, stopped = carrying
+    carrier.lent = 1
+    carriers.settle([])
+    for _ in range(3):
+        await carrier.turn()
+
+    assert carriers.held == {GROUP}
+    assert not carrier.closed
+
+    carrier.lent = 0
+    await carriers.finished()
+    assert stopped == [GROUP]
+    assert carrier.closed
+
+
+async def test_group_that_comes_back_goes_on_where_it_was(carrying):
+    carriers, carrier, _ = carrying
+    carrier.open_transactions = carrier.lent = 1
+    carriers.settle([])
+    await carrier.turn()
+    carriers.settle([GROUP])
+
+    assert GROUP in carriers.carried
+    assert carriers.held == {GROUP}
+    assert not carrier.closed
+    carrier.release.set()
+    assert await carriers.run(statement()) == Done(True)
+    await carriers.finished()
+
+
+async def test_a_transaction_that_never_ends_is_cut_at_the_limit():
+    carrier = FakeCarrier()
+    carrier.open_transactions = carrier.lent = 1
+    carriers = Carriers(
+        lambda group: Carried(carrier, supervise),
+        lambda: 0,
+        lambda: None,
+    )
+    carriers.settle([GROUP])
+    carriers.settle([])
+    await carriers.finished()
+
+    assert carrier.closed
