--- a/packages/cowslipfork/src/cowslipfork/groups/promotion.py
+++ b/packages/cowslipfork/src/cowslipfork/groups/promotion.py
@@ -208,6 +208,7 @@
     finally:
         for task in pending:
             task.cancel()
+        await asyncio.gather(*pending, return_exceptions=True)
     if len(fenced) < majority:
         raise TooFewFenced(term, len(fenced))
     return fenced
