--- a/packages/cowslipfork-lab/src/cowslipfork_lab/cli.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/cli.py
@@ -7,6 +7,7 @@
 import signal
 import sys
 from collections.abc import Coroutine
+from contextlib import suppress
 from pathlib import Path
 from typing import Annotated, Any
 
@@ -16,10 +17,13 @@
 from cowslipfork.errors import CowslipforkError
 from cowslipfork_lab.demo import run_demo
 from cowslipfork_lab.endpoint import EndpointSettings, run_endpoint
+from cowslipfork_lab.load.command import run_load
 from cowslipfork_lab.relay import run_relay
 from cowslipfork_lab.store import run_store
 
-app = typer.Typer(no_args_is_help=True, add_completion=False)
+app = typer.Typer(
+    no_args_is_help=True, add_completion=False, pretty_exceptions_enable=False
+)
 
 _SAMPLE = Path('samples/hilal')
 _RUN = Path('run/demo')
@@ -77,6 +81,9 @@
     run_until_signal(run_relay())
 
 
+app.command('load')(run_load)
+
+
 @app.command()
 def demo(
     sample: Annotated[Path, typer.Option(help='Deployment.')] = _SAMPLE,
@@ -104,4 +111,5 @@
     task = asyncio.create_task(work)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, task.cancel)
-    await asyncio.gather(task, return_exceptions=False)
+    with suppress(asyncio.CancelledError):
+        await task
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/cluster/controls.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/cluster/controls.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 from collections.abc import Sequence
 from typing import Any
@@ -9,10 +10,23 @@
 import aetcd
 import asyncmy
 
+from cowslipfork.groups import EndpointRole, EndpointStatus
+from cowslipfork.ids import Mark, Position, Term
 from cowslipfork_lab.cluster.plan import LOOPBACK
 from cowslipfork_lab.cluster.process import ChildProcess
 from cowslipfork_lab.relay import Rule
 
+#: Bound of a question to an endpoint, in seconds.
+ANSWER_SECONDS = 10.0
+_STATUS_COLUMNS = (
+    'endpoint',
+    'role',
+    'term',
+    'log_term',
+    'position',
+    'leaving',
+)
+
 
 async def query(port: int, sql: str) -> Sequence[Sequence[Any]]:
     """Runs one statement on a connection of its own.
@@ -23,19 +37,23 @@
 
     Returns:
         Rows of the answer.
+
+    Raises:
+        TimeoutError: no answer.
     """
-    connection = await asyncmy.connect(
-        host=LOOPBACK,
-        port=port,
-        user='lab',
-        autocommit=True,
-    )
-    try:
-        async with connection.cursor() as cursor:
-            await cursor.execute(sql)
-            return await cursor.fetchall()
-    finally:
-        connection.close()
+    async with asyncio.timeout(ANSWER_SECONDS):
+        connection = await asyncmy.connect(
+            host=LOOPBACK,
+            port=port,
+            user='lab',
+            autocommit=True,
+        )
+        try:
+            async with connection.cursor() as cursor:
+                await cursor.execute(sql)
+                return await cursor.fetchall()
+        finally:
+            connection.close()
 
 
 async def set_endpoint_fault(port: int, name: str, setting: object) -> None:
@@ -88,6 +106,26 @@
     return json.loads(found.value)
 
 
+async def endpoint_status(port: int) -> EndpointStatus:
+    """Reads the status of an endpoint, whatever its faults.
+
+    Args:
+        port: control port.
+
+    Returns:
+        Its status.
+    """
+    rows = await query(port, 'SHOW GROUP STATUS')
+    row = dict(zip(_STATUS_COLUMNS, rows[0], strict=True))
+    return EndpointStatus(
+        row['endpoint'],
+        EndpointRole(row['role']),
+        Term(row['term']),
+        Mark(Term(row['log_term']), Position(row['position'])),
+        bool(row['leaving']),
+    )
+
+
 class RelayControl:
     """Commands to the relay process."""
 
--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/carrier/carriers.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/carrier/carriers.py
@@ -3,17 +3,20 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Coroutine, Iterable
+from collections.abc import Callable, Coroutine, Iterable, Set
 from dataclasses import dataclass
 from typing import Any, Final
 
 from cowslipfork.ids import GroupName
 from cowslipfork.outcomes import NotRun, Outcome, Reason
-from cowslipfork.requests import Answer, Request
+from cowslipfork.requests import Answer, Operation, Request
 from cowslipfork_proxy.carrier.group_carrier import GroupCarrier
 
 _RETRY_AFTER_MS: Final = 100
 
+#: Seconds between looks at what a retiring carrier has left to finish.
+_FINISH_POLL: Final = 0.02
+
 
 @dataclass(frozen=True, slots=True)
 class Carried:
@@ -23,18 +26,70 @@
     supervise: Callable[[], Coroutine[Any, Any, None]]
 
 
+@dataclass(slots=True, eq=False)
+class _Held:
+    """A group whose connections are open here.
+
+    Attributes:
+        supervised: samples and supervises the group.
+        finishing: lets what has begun finish, once the group is given up.
+        running: statements outside transactions without an outcome.
+        freed: whether another node may carry the group.
+    """
+
+    carrier: GroupCarrier
+    supervised: asyncio.Task[None]
+    finishing: asyncio.Future[None]
+    running: int = 0
+    freed: bool = False
+
+    @property
+    def busy(self) -> bool:
+        """Whether statements outside transactions run or stream rows."""
+        transactions = self.carrier.open_transactions
+        return self.running > 0 or self.carrier.lent > transactions
+
+    def end(self) -> None:
+        """Closes the group's connections."""
+        self.supervised.cancel()
+        self.carrier.close()
+
+
 class Carriers:
     """Starts and stops carrying as membership changes."""
 
-    def __init__(self, make: Callable[[GroupName], Carried | None]) -> None:
+    def __init__(
+        self,
+        make: Callable[[GroupName], Carried | None],
+        longest_finish: Callable[[], float],
+        stopped: Callable[[], None],
+    ) -> None:
         """Starts with no group.
 
         Args:
             make: wires the carrier of a group; None for an unknown group.
+            longest_finish: gives the seconds that statements in flight get
+                when a group moves to another node.
+            stopped: called when another node may carry a group.
         """
         self._make = make
-        self._carried: dict[GroupName, Carried] = {}
-        self._tasks: dict[GroupName, asyncio.Task[None]] = {}
+        self._longest_finish = longest_finish
+        self._stopped = stopped
+        self._carried: dict[GroupName, _Held] = {}
+        self._retiring: dict[GroupName, _Held] = {}
+
+    @property
+    def held(self) -> Set[GroupName]:
+        """Groups that no other node may carry yet.
+
+        A group that was given up counts until its last statement outside a
+        transaction has ended. Transactions finish here while the next
+        carrier begins: each uses its own share of the connections.
+        """
+        finishing = {
+            group for group, item in self._retiring.items() if not item.freed
+        }
+        return self._carried.keys() | finishing
 
     @property
     def carried(self) -> dict[GroupName, GroupCarrier]:
@@ -49,13 +104,22 @@
         """
         names = set(wanted)
         for group in self._carried.keys() - names:
-            self._stop(group)
+            self._retire(group)
         for missing in names - self._carried.keys():
             self._start(missing)
 
     def close(self) -> None:
-        """Stops carrying everything."""
-        self.settle(())
+        """Stops carrying everything at once."""
+        for item in (*self._carried.values(), *self._retiring.values()):
+            item.finishing.cancel()
+            item.end()
+        self._carried.clear()
+        self._retiring.clear()
+
+    async def finished(self) -> None:
+        """Waits until no retiring group has anything left to finish."""
+        finishing = [item.finishing for item in self._retiring.values()]
+        await asyncio.gather(*finishing)
 
     async def run(self, request: Request) -> Outcome[Answer]:
         """Serves a statement of a carried group.
@@ -66,21 +130,63 @@
         Returns:
             Its outcome; not run if the group is carried elsewhere.
         """
-        item = self._carried.get(request.group)
+        item = self._carried.get(request.group) or self._finisher(request)
         if item is None:
             return NotRun(
                 Reason.NO_CARRIER,
                 _RETRY_AFTER_MS,
                 f'group {request.group} is not carried here',
             )
-        return await item.carrier.run(request)
+        if request.transaction is not None:
+            return await item.carrier.run(request)
+        item.running += 1
+        try:
+            return await item.carrier.run(request)
+        finally:
+            item.running -= 1
+
+    def _finisher(self, request: Request) -> _Held | None:
+        # A transaction ends where it began; nothing new begins there.
+        if request.transaction is None or request.operation is Operation.BEGIN:
+            return None
+        return self._retiring.get(request.group)
 
     def _start(self, group: GroupName) -> None:
-        item = self._make(group)
-        if item is not None:
-            self._carried[group] = item
-            self._tasks[group] = asyncio.create_task(item.supervise())
-
-    def _stop(self, group: GroupName) -> None:
-        self._tasks.pop(group).cancel()
-        self._carried.pop(group).carrier.close()
+        kept = self._retiring.pop(group, None)
+        if kept is not None:
+            # It came back before it was finished: it simply goes on.
+            kept.finishing.cancel()
+            kept.freed = False
+            self._carried[group] = kept
+            return
+        made = self._make(group)
+        if made is not None:
+            task = asyncio.create_task(made.supervise())
+            nothing: asyncio.Future[None] = asyncio.Future()
+            self._carried[group] = _Held(made.carrier, task, nothing)
+
+    def _retire(self, group: GroupName) -> None:
+        item = self._carried.pop(group)
+        self._retiring[group] = item
+        item.finishing = asyncio.create_task(self._finish(group, item))
+
+    async def _finish(self, group: GroupName, item: _Held) -> None:
+        until = asyncio.get_running_loop().time() + self._longest_finish()
+        await _poll_until(until, lambda: not item.busy)
+        item.freed = True
+        self._stopped()
+        await _poll_until(
+            until,
+            lambda: not item.carrier.open_transactions,
+        )
+        del self._retiring[group]
+        item.end()
+
+
+async def _poll_until(until: float, done: Callable[[], bool]) -> None:
+    """Waits for a condition, at most until a loop time in seconds."""
+    loop = asyncio.get_running_loop()
+    while True:
+        if done() or loop.time() >= until:
+            return
+        await asyncio.sleep(_FINISH_POLL)
--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/node.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/node.py
@@ -5,8 +5,8 @@
 import asyncio
 import logging
 import signal
-from collections.abc import Sequence
 from contextlib import AsyncExitStack, suppress
+from dataclasses import replace
 from functools import partial
 from typing import Final
 from uuid import uuid4
@@ -22,30 +22,46 @@
 )
 from cowslipfork.groups import (
     ClaimerId,
-    Evidence,
     GroupRecord,
     Violation,
     first_record,
 )
-from cowslipfork.ids import EndpointId, GroupName, RegionName, Term, VmId
+from cowslipfork.ids import GroupName, RegionName, VmId
 from cowslipfork.limits import TeamLimits
-from cowslipfork.membership import Place, carrier_of, rank
+from cowslipfork.membership import Member, Place, carrier_of, rank
+from cowslipfork.membership.handover import holders_of
 from cowslipfork.requests import Run
+from cowslipfork.spread.record import VMS_PREFIX
 from cowslipfork.store import Store
 from cowslipfork.store.etcd import EtcdStore
-from cowslipfork.wire import admin_pb2, admin_pb2_grpc, node_pb2_grpc
+from cowslipfork.wire import (
+    admin_pb2,
+    admin_pb2_grpc,
+    node_pb2,
+    node_pb2_grpc,
+)
+from cowslipfork_proxy import status
 from cowslipfork_proxy.administration import AdminParts, AdminService
 from cowslipfork_proxy.admission import admitting
-from cowslipfork_proxy.callers import CallerSettings, serve_callers
+from cowslipfork_proxy.callers import (
+    CallerServer,
+    CallerSettings,
+    serve_callers,
+)
 from cowslipfork_proxy.carrier import Carriers, CarryingParts, carry
 from cowslipfork_proxy.endpoints import Login
-from cowslipfork_proxy.forwarding import CarrierLink, CarrierService
+from cowslipfork_proxy.forwarding import CarrierService
 from cowslipfork_proxy.holdings import Holdings
 from cowslipfork_proxy.metrics import gauge, set_up_metrics
-from cowslipfork_proxy.polling import poll_store
-from cowslipfork_proxy.probing import MOST_ASKED, ProbeService, ask_nodes
+from cowslipfork_proxy.peers import (
+    FleetNeeds,
+    FleetParts,
+    announce,
+    assemble_fleet,
+)
+from cowslipfork_proxy.probing import probe
+from cowslipfork_proxy.reach import Reach
 from cowslipfork_proxy.routing import Router
-from cowslipfork_proxy.status import group_statuses, impediments
 
 log = logging.getLogger(__name__)
 
@@ -81,41 +97,84 @@
         self._violations = self._meter.create_counter('invariant_violations')
         self._holdings = Holdings(_empty(settings))
         self._login = Login()
-        self._carriers = Carriers(partial(carry, self._parts()))
-        self._channels: dict[VmId, grpc.aio.Channel] = {}
-        self._links: dict[VmId, CarrierLink] = {}
+        self._region = RegionName(settings.site)
+        self._reach = Reach(
+            self._vm,
+            self._holdings,
+            grpc.aio.insecure_channel,
+        )
+        self._fleet = self._join(asyncio.get_running_loop().time())
+        self._carriers = Carriers(
+            partial(carry, self._parts()),
+            lambda: self._configuration().limits.drain,
+            self._settle,
+        )
         self._router = Router(
             self._carrier_of,
             self._run_at,
             lambda: self._holdings.configuration.limits.hold,
         )
+        self._in_force = asyncio.Event()
+        self._listen()
+
+    def _listen(self) -> None:
         self._holdings.listen(self._settle)
+        self._fleet.fleet.watch_touch(self._settle)
+        self._fleet.members.watch(self._on_member)
 
     async def run(self) -> None:
         """Serves until told to stop, then drains."""
-        gauge(self._meter, 'configuration_revision', self._revision)
-        settings = self._settings
         async with AsyncExitStack() as stack:
-            server = self._peer_server()
-            await server.start()
-            stack.push_async_callback(server.stop, _GRACE)
-            poller = asyncio.create_task(
-                poll_store(self._store, self._holdings, settings.site),
-            )
-            stack.callback(poller.cancel)
-            callers = await serve_callers(
-                CallerSettings(settings.host, settings.caller_port),
-                admitting(self._router.run, TeamLimits(), self._configuration),
-                self._configuration,
-            )
-            stack.push_async_callback(callers.close)
-            stack.callback(self._carriers.close)
-            log.info('node started', extra={'port': callers.port})
+            await self._meet_others(stack)
+            if not await self._configured():
+                return
+            callers = await self._meet_callers(stack)
             await self._stop.wait()
             log.info('node draining')
+            self._fleet.fleet.leave()
+            self._settle()
             await callers.drain()
+            await self._carriers.finished()
         log.info('node stopped')
 
+    async def _meet_others(self, stack: AsyncExitStack) -> None:
+        """Starts to answer other nodes and operators, and to ask them."""
+        server = self._peer_server()
+        await server.start()
+        stack.push_async_callback(server.stop, _GRACE)
+        seeds = [f'{host}:{port}' for host, port in self._settings.peers]
+        joined = asyncio.create_task(self._fleet.fleet.run(seeds))
+        stack.callback(joined.cancel)
+        stack.push_async_callback(self._reach.close)
+        stack.callback(self._carriers.close)
+
+    async def _meet_callers(self, stack: AsyncExitStack) -> CallerServer:
+        gauge(self._meter, 'configuration_revision', self._revision)
+        callers = await serve_callers(
+            CallerSettings(self._settings.host, self._settings.caller_port),
+            admitting(self._router.run, TeamLimits(), self._configuration),
+            self._configuration,
+        )
+        stack.push_async_callback(callers.close)
+        log.info('node started', extra={'port': callers.port})
+        return callers
+
+    async def _configured(self) -> bool:
+        """Waits for a configuration, without which no caller can log in.
+
+        Returns:
+            Whether there is one; otherwise the node has to stop.
+        """
+        in_force = asyncio.create_task(self._in_force.wait())
+        stopped = asyncio.create_task(self._stop.wait())
+        await asyncio.wait(
+            (in_force, stopped),
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        in_force.cancel()
+        stopped.cancel()
+        return not self._stop.is_set()
+
     def _peer_server(self) -> grpc.aio.Server:
         server = grpc.aio.server()
         node_pb2_grpc.add_CarrierServicer_to_server(
@@ -123,7 +182,7 @@
             server,
         )
         node_pb2_grpc.add_MembershipServicer_to_server(
-            ProbeService(self._configuration, self._login),
+            self._fleet.service,
             server,
         )
         admin_pb2_grpc.add_AdminServicer_to_server(
@@ -151,28 +210,16 @@
         return True
 
     def _status(self) -> admin_pb2.StatusReply:
-        records = [
-            self._record_of(group)
-            for group in self._configuration().groups.values()
-        ]
+        now = asyncio.get_running_loop().time()
+        records = map(self._record_of, self._configuration().groups.values())
+        carried = self._carriers.carried
         return admin_pb2.StatusReply(
             vm=self._vm,
             revision=self._holdings.revision,
-            store_reachable=True,
-            nodes=[
-                admin_pb2.NodeStatus(
-                    vm=vm,
-                    state='leaving' if neighbour.leaving else 'live',
-                    failure_domain=neighbour.place.failure_domain,
-                )
-                for vm, neighbour in self._holdings.neighbours.items()
-            ],
-            groups=group_statuses(
-                records,
-                self._carriers.carried,
-                self._carrier_of,
-            ),
-            cannot=impediments(self._carriers.carried),
+            store_reachable=self._fleet.fleet.store_age(now) is not None,
+            nodes=status.node_statuses(self._fleet.members),
+            groups=status.group_statuses(records, carried, self._carrier_of),
+            cannot=status.impediments(carried),
         )
 
     def _configuration(self) -> Configuration:
@@ -189,36 +236,81 @@
         ]
 
     def _carrier_of(self, group: GroupName) -> VmId | None:
-        region = self._holdings.configuration.site.region
-        return carrier_of(group, self._places(), region)
-
-    def _channel(self, vm: VmId) -> grpc.aio.Channel:
-        channel = self._channels.get(vm)
-        if channel is None:
-            address = self._holdings.neighbours[vm].address
-            channel = grpc.aio.insecure_channel(address)
-            self._channels[vm] = channel
-        return channel
+        return carrier_of(group, self._places(), self._region)
 
     def _run_at(self, vm: VmId) -> Run:
         if vm == self._vm:
             return self._carriers.run
-        link = self._links.get(vm)
-        if link is None:
-            link = CarrierLink(self._channel(vm))
-            self._links[vm] = link
-        return link.run
+        return self._reach.run_at(vm)
 
     def _settle(self) -> None:
         """Carries the groups that rendezvous gives to this VM."""
+        if self._holdings.revision:
+            self._in_force.set()
         groups = self._holdings.configuration.groups
         self._carriers.settle(
-            group for group in groups if self._carrier_of(group) == self._vm
+            [group for group in groups if self._may_carry(group)],
         )
         for name, carrier in self._carriers.carried.items():
             record = self._holdings.records.get(name)
             if record is not None:
                 carrier.adopt(record)
+        self._tell_carried()
+
+    def _may_carry(self, group: GroupName) -> bool:
+        """Tells whether this node carries a group now.
+
+        A node out of touch carries nothing, and a new carrier waits until
+        the one before has given the group up, so that the limits of its
+        endpoints hold. Before the platform's list was heard a node knows
+        only itself and would take every group for its own.
+        """
+        members = self._fleet.members
+        return (
+            self._carrier_of(group) == self._vm
+            and bool(self._fleet.records.below(VMS_PREFIX))
+            and members.in_touch(asyncio.get_running_loop().time())
+            and not holders_of(group, members.all)
+        )
+
+    def _tell_carried(self) -> None:
+        carries = frozenset(self._carriers.held)
+        own = self._fleet.members.own
+        if own.carries != carries:
+            self._fleet.fleet.tell(replace(own, carries=carries))
+
+    def _on_member(self, before: Member | None, after: Member) -> None:
+        # Another node has given a group up, or has begun to carry it.
+        carried = before.report.carries if before else frozenset()
+        if carried != after.report.carries:
+            self._settle()
+
+    def _join(self, now: float) -> FleetParts:
+        settings = self._settings
+        return assemble_fleet(
+            FleetNeeds(
+                settings=settings,
+                address=f'{settings.host}:{settings.peer_port}',
+                store=self._store,
+                holdings=self._holdings,
+                open_channel=grpc.aio.insecure_channel,
+                probe=self._probe,
+                diverged=self._count_divergence,
+            ),
+            now,
+        )
+
+    async def _probe(
+        self,
+        request: node_pb2.ProbeRequest,
+    ) -> node_pb2.ProbeReply:
+        return await probe(request, self._configuration(), self._login)
+
+    def _count_divergence(self, key: str) -> None:
+        self._violations.add(
+            1,
+            {'violation': 'two_contents_of_a_version', 'key': key},
+        )
 
     def _parts(self) -> CarryingParts:
         return CarryingParts(
@@ -229,7 +321,7 @@
             configuration=self._configuration,
             record_of=self._record_of,
             announce=self._announce,
-            ask_peers=self._ask_peers,
+            ask_peers=self._reach.ask_peers,
             ranks=self._ranks,
             count_violation=self._count_violation,
         )
@@ -238,24 +330,10 @@
         return self._holdings.records.get(group.name) or first_record(group)
 
     def _announce(self, record: GroupRecord) -> None:
-        self._holdings.hear_records([record])
+        announce(self._fleet.records, record)
 
     def _ranks(self, group: GroupName) -> list[VmId]:
-        region = self._holdings.configuration.site.region
-        return rank(group, self._places(), region)
-
-    async def _ask_peers(
-        self,
-        endpoint: EndpointId,
-        term: Term,
-    ) -> Sequence[Evidence]:
-        others = [vm for vm in self._holdings.neighbours if vm != self._vm]
-        return await ask_nodes(
-            [self._channel(vm) for vm in others[:MOST_ASKED]],
-            endpoint,
-            term,
-            self._holdings.configuration.failover.probe_timeout,
-        )
+        return rank(group, self._places(), self._region)
 
     def _count_violation(self, group: GroupName, violation: Violation) -> None:
         log.error(
--- a/packages/cowslipfork/src/cowslipfork/membership/fleet.py
+++ b/packages/cowslipfork/src/cowslipfork/membership/fleet.py
@@ -18,11 +18,7 @@
 from cowslipfork.membership.topology import neighbours_of, relays_of
 from cowslipfork.spread.fetch import Fetcher
 from cowslipfork.spread.holdings import Holdings
-from cowslipfork.spread.record import (
-    CONFIGURATION_KEY,
-    VMS_PREFIX,
-    HeldRecord,
-)
+from cowslipfork.spread.record import VMS_PREFIX, HeldRecord
 from cowslipfork.wire import node_pb2
 
 #: Seconds for which the store's last answer proves that a node is current.
@@ -63,6 +59,7 @@
         self._told = 0
         self._planned = -1
         self._list_changed = False
+        self._touch_watchers: list[Callable[[], None]] = []
         members.watch(self._on_member)
         holdings.watch(self._on_record)
 
@@ -97,6 +94,14 @@
         fresh = age is not None and age <= STORE_FRESH
         return fresh or self._members.in_touch(now)
 
+    def watch_touch(self, watcher: Callable[[], None]) -> None:
+        """Calls back when the node gains or loses its majority.
+
+        Args:
+            watcher: called after the change.
+        """
+        self._touch_watchers.append(watcher)
+
     def tell(self, own: Report) -> None:
         """Changes what the node tells about itself, at once.
 
@@ -106,6 +111,14 @@
         self._members.update(own)
         self._links.wake()
 
+    def in_force(self, revision: Revision) -> None:
+        """Tells that a configuration is in force at this node.
+
+        Args:
+            revision: its number.
+        """
+        self.tell(replace(self._members.own, revision=revision))
+
     def leave(self) -> None:
         """Tells all nodes that this one takes no new work any more."""
         self.tell(replace(self._members.own, state=MemberState.LEAVING))
@@ -152,15 +165,23 @@
             self._list_changed = False
             listed = listed_vms(self._holdings, self._region_of)
             self._members.list_vms(listed, now)
+        touched = self._members.in_touch(now)
         if self._members.tick(now):
             _logger.warning('event=woke_late')
             await self._links.reopen()
+        if self._members.in_touch(now) is not touched:
+            self._note_touch(in_touch=not touched)
         self._members.refresh(self.store_age(now))
         await self._links.close_extra(now)
         if self._planned != self._members.changes.last:
             self._planned = self._members.changes.last
             self._plan(now)
 
+    def _note_touch(self, *, in_touch: bool) -> None:
+        _logger.info('event=in_touch value=%s', in_touch)
+        for watcher in self._touch_watchers:
+            watcher()
+
     def _plan(self, now: float) -> None:
         present = [
             member
@@ -224,9 +245,5 @@
             self._links.wake()
 
     def _on_record(self, record: HeldRecord) -> None:
-        if record.key == CONFIGURATION_KEY:
-            revision = Revision(record.version.major)
-            own = self._members.own
-            self._members.update(replace(own, revision=revision))
         self._list_changed |= record.key.startswith(VMS_PREFIX)
         self._links.wake()
--- a/packages/cowslipfork/src/cowslipfork/membership/links.py
+++ b/packages/cowslipfork/src/cowslipfork/membership/links.py
@@ -10,7 +10,7 @@
 
 from cowslipfork.ids import VmId
 from cowslipfork.membership.link import Link
-from cowslipfork.membership.member import MemberState, Proof
+from cowslipfork.membership.member import Member, MemberState, Proof
 from cowslipfork.membership.members import Members
 from cowslipfork.membership.port import (
     PeerRefused,
@@ -24,7 +24,7 @@
 from cowslipfork.wire import node_pb2
 
 #: Seconds without a heartbeat after which a link is opened anew.
-LINK_SILENCE = 0.9
+LINK_SILENCE = 1.0
 
 #: Seconds that a node waits for a neighbour to open the link between them.
 DIAL_GRACE = 0.5
@@ -180,11 +180,28 @@
         while True:
             member = self._members.all.get(vm)
             if vm in self._open:
+                # The neighbour opened it; when it ends, so does the wait of
+                # the end that dials.
                 delays = backoff_delays(FIRST_REDIAL, LONGEST_REDIAL)
-            elif member:
-                await self._dial(member.report.address)
+                await asyncio.sleep(DIAL_GRACE * random.uniform(1, 2))
+                continue
+            if member:
+                await self._dial_member(member)
             await asyncio.sleep(FIRST_REDIAL + next(delays))
 
+    async def _dial_member(self, member: Member) -> None:
+        try:
+            stream = await self._peers.exchange(member.report.address)
+        except PeerRefused:
+            # A VM that others hear is not gone because one cannot reach it.
+            unheard = not member.report.incarnation
+            if unheard or member.report.state is not MemberState.LIVE:
+                self._lose(member.report.vm, member.report.incarnation)
+        except PeerSilent:
+            return
+        else:
+            await self.hold(stream)
+
     async def _dial(self, address: str) -> None:
         with suppress(PeerSilent):
             await self.hold(await self._peers.exchange(address))
