--- a/packages/cowslipfork/tests/fakes/cluster.py
+++ b/packages/cowslipfork/tests/fakes/cluster.py
@@ -38,6 +38,10 @@
 PATIENCE = 1.5
 
 
+#: Seconds between tries of a caller that waits for a new primary.
+TRY_EACH = 0.01
+
+
 class Died(Exception):
     """The node's process ended at this call."""
 
@@ -268,15 +272,17 @@
 
     async def ask(self, asker, endpoint, term):
         await asyncio.sleep(0.002)
-        return [
-            await self._evidence(node, endpoint, term)
-            if node.alive and not self.apart(asker, node)
-            else Evidence.UNHEARD
-            for node in self.nodes
-            if node is not asker
-        ]
+        return await asyncio.gather(
+            *(
+                self._evidence(asker, node, endpoint, term)
+                for node in self.nodes
+                if node is not asker
+            )
+        )
 
-    async def _evidence(self, node, endpoint, term):
+    async def _evidence(self, asker, node, endpoint, term):
+        if not node.alive or self.apart(asker, node):
+            return Evidence.UNHEARD
         return await examine(node.raw[endpoint], term, TIMEOUT)
 
     def replaced(self, term):
@@ -354,13 +360,23 @@
             The seconds it took.
         """
         begun = now()
-        while now() < begun + seconds:
-            for node in self.nodes:
-                if node.alive:
-                    mark = await node.write((term, node.name, now()), 0.5)
-                    if mark and mark.term >= term:
-                        return now() - begun
-            await asyncio.sleep(0.01)
+        served = asyncio.get_running_loop().create_future()
+
+        async def attempt(node, number):
+            mark = await node.write((term, node.name, number), 0.5)
+            if mark and mark.term >= term and not served.done():
+                served.set_result(now() - begun)
+
+        tries = set()
+        for number in range(int(seconds / TRY_EACH)):
+            alive = [node for node in self.nodes if node.alive]
+            node = alive[number % len(alive)]
+            tries.add(asyncio.create_task(attempt(node, (begun, number))))
+            await asyncio.wait([served], timeout=TRY_EACH)
+            if served.done():
+                await asyncio.gather(*tries)
+                return served.result()
+        await asyncio.gather(*tries)
         raise AssertionError(f'no acknowledged write within {seconds} s')
 
 
--- a/packages/cowslipfork/tests/groups/test_promises.py
+++ b/packages/cowslipfork/tests/groups/test_promises.py
@@ -300,6 +300,9 @@
     async def _recover(self):
         """After all faults have ended, the group serves again."""
         await self._calm()
+        for rank, node in enumerate(self.cluster.nodes):
+            # Also takes away deaths that were still to come.
+            await self._restart(node, rank)
         await self.cluster.until_serving(term=1, seconds=20)
         broken = self.cluster.promises_broken()
         ended = [task for task in self.callers if task.done()]
