No credit message after the last batch of rows

Cause: an entry sent a credit for every batch it took, also for the last, so that each forwarded point read cost a third stream message. Ran: forwarding tests, 18 passed.

--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/forwarding/link.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/forwarding/link.py
@@ -160,10 +160,10 @@
         try:
             while current is not None and not current.lost:
                 if current.HasField('rows'):
-                    self._credit(number)
                     yield rows_of(current.rows)
                 if current.last:
                     return
+                self._credit(number)
                 current = await pending.frames.get()
             raise RowsLost('the carrier')
         finally:
