--- a/Makefile
+++ b/Makefile
@@ -37,6 +37,9 @@
 serve: $(READY)
 	$(BIN)/cowslipfork-lab serve
 
+mutants: $(READY)
+	$(BIN)/cowslipfork-lab mutants
+
 generate: $(READY)
 	cd packages/cowslipfork/src && PATH=$(abspath $(BIN)):$$PATH python -m grpc_tools.protoc -I . \
 	  --python_out=. --grpc_python_out=. --mypy_out=. cowslipfork/wire/*.proto
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/cli.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/cli.py
@@ -18,6 +18,7 @@
 from cowslipfork_lab.demo import run_demo
 from cowslipfork_lab.endpoint import EndpointSettings, run_endpoint
 from cowslipfork_lab.load.command import run_load
+from cowslipfork_lab.mutants import run_mutants
 from cowslipfork_lab.relay import run_relay
 from cowslipfork_lab.serve import serve
 from cowslipfork_lab.store import run_store
@@ -109,6 +110,13 @@
     uvloop.run(serve(sample, directory, first_port))
 
 
+@app.command()
+def mutants(name: str = '') -> None:
+    """Switches mechanisms off one at a time; says which test notices."""
+    if not asyncio.run(run_mutants(Path.cwd(), name)):
+        raise typer.Exit(1)
+
+
 def run_until_signal(work: Coroutine[Any, Any, None]) -> None:
     """Runs a server until SIGTERM or ctrl-C.
 
--- /dev/null
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/table.py
@@ -0,0 +1,212 @@
+"""The mutants: which text switches a mechanism off, and who must notice."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from pathlib import PurePosixPath
+from typing import Final
+
+_DOMAIN: Final = PurePosixPath('packages/cowslipfork/src/cowslipfork')
+_PROXY: Final = PurePosixPath(
+    'packages/cowslipfork-proxy/src/cowslipfork_proxy'
+)
+_DOMAIN_TESTS: Final = 'packages/cowslipfork/tests'
+_PROXY_TESTS: Final = 'packages/cowslipfork-proxy/tests'
+
+
+@dataclass(frozen=True, slots=True)
+class Mutant:
+    """A mechanism and how it is switched off.
+
+    Attributes:
+        mechanism: what is off.
+        path: source file.
+        text: text that is replaced; it occurs once.
+        replacement: what stands there instead.
+        tests: tests of which at least one must fail.
+    """
+
+    mechanism: str
+    path: PurePosixPath
+    text: str
+    replacement: str
+    tests: str
+
+
+MUTANTS: Final = (
+    Mutant(
+        'a job and its request_id commit together',
+        _PROXY / 'carrier/_jobs.py',
+        "    await connection.command('BEGIN', remaining(request))",
+        "    await connection.command('COMMIT', remaining(request))",
+        f'{_PROXY_TESTS}/carrier/test_jobs.py',
+    ),
+    Mutant(
+        'a request_id names one statement only',
+        _PROXY / 'carrier/_jobs.py',
+        'if recorded != digest:',
+        'if not recorded:',
+        f'{_PROXY_TESTS}/carrier/test_jobs.py',
+    ),
+    Mutant(
+        'a lock time-out of a job is unknown',
+        _PROXY / 'carrier/_jobs.py',
+        'if refused.errno in {_LOCK_WAIT, _DEADLOCK}:',
+        'if refused.errno < 0:',
+        f'{_PROXY_TESTS}/carrier/test_jobs.py',
+    ),
+    Mutant(
+        'a write waits for its majority',
+        _PROXY / 'carrier/_writes.py',
+        '    if mark is None:',
+        '    if mark is Ellipsis:',
+        f'{_PROXY_TESTS}/carrier/test_jobs.py',
+    ),
+    Mutant(
+        'a check needs a majority in its term',
+        _DOMAIN / 'groups/_evidence.py',
+        '    if len(samples) < needed:',
+        '    if len(samples) < 0:',
+        f'{_DOMAIN_TESTS}/groups',
+    ),
+    Mutant(
+        'the mark of a majority counts, not the highest',
+        _DOMAIN / 'groups/_evidence.py',
+        'marks[needed - 1])',
+        'marks[0])',
+        f'{_DOMAIN_TESTS}/groups',
+    ),
+    Mutant(
+        'an entry is safe once its term has one of its own',
+        _DOMAIN / 'groups/_evidence.py',
+        '    return max(mark, Mark(term, Position(0)))',
+        '    return mark',
+        f'{_DOMAIN_TESTS}/groups',
+    ),
+    Mutant(
+        'a promotion needs a fenced majority',
+        _DOMAIN / 'groups/promotion.py',
+        '    if len(fenced) < majority:',
+        '    if len(fenced) < 1:',
+        f'{_DOMAIN_TESTS}/groups',
+    ),
+    Mutant(
+        'the highest log is promoted',
+        _DOMAIN / 'groups/promotion.py',
+        '    return max(\n        able if',
+        '    return min(\n        able if',
+        f'{_DOMAIN_TESTS}/groups',
+    ),
+    Mutant(
+        'terms only grow',
+        _DOMAIN / 'groups/record.py',
+        'return self.term > other.term',
+        'return True',
+        f'{_DOMAIN_TESTS}/groups',
+    ),
+    Mutant(
+        'a session with unknown marks reads fresh',
+        _DOMAIN / 'reads/need.py',
+        'if isinstance(rule, SessionRule) and floor is not None:',
+        'if isinstance(rule, SessionRule):',
+        f'{_DOMAIN_TESTS}/reads {_DOMAIN_TESTS}/groups',
+    ),
+    Mutant(
+        'an endpoint behind the floor serves nothing',
+        _DOMAIN / 'reads/eligible.py',
+        'if status.leaving or status.mark < need.floor:',
+        'if status.leaving:',
+        f'{_DOMAIN_TESTS}/reads {_DOMAIN_TESTS}/groups',
+    ),
+    Mutant(
+        'the age of data is proved',
+        _DOMAIN / 'reads/eligible.py',
+        'return age is not None and age <= need.max_age',
+        'return True',
+        f'{_DOMAIN_TESTS}/reads {_DOMAIN_TESTS}/groups',
+    ),
+    Mutant(
+        'only a job is sent again after unknown',
+        _PROXY / 'routing.py',
+        'isinstance(outcome, Unknown) and request.request_id is not None',
+        'isinstance(outcome, Unknown)',
+        f'{_PROXY_TESTS}/test_routing.py',
+    ),
+    Mutant(
+        'a statement that was sent is unknown when its carrier dies',
+        _PROXY / 'forwarding/link.py',
+        'if not pending.sent or request.operation in _HARMLESS:',
+        'if request.operation:',
+        f'{_PROXY_TESTS}/forwarding',
+    ),
+    Mutant(
+        'rows lost half-way are no short answer',
+        _PROXY / 'forwarding/servicer.py',
+        'number=number, lost=True, last=True',
+        'number=number, last=True',
+        f'{_PROXY_TESTS}/forwarding',
+    ),
+    Mutant(
+        'transactions of a dead entry are rolled back',
+        _PROXY / 'forwarding/servicer.py',
+        'for begun in self._transactions.values():',
+        'for begun in ():',
+        f'{_PROXY_TESTS}/forwarding',
+    ),
+    Mutant(
+        'a hand-over waits for rows still being read',
+        _PROXY / 'carrier/carriers.py',
+        'self.running > 0 or self.carrier.lent > transactions',
+        'self.running > transactions',
+        f'{_PROXY_TESTS}/carrier/test_carriers.py',
+    ),
+    Mutant(
+        'slots of an endpoint are never exceeded',
+        _DOMAIN / 'limits/queue.py',
+        '            self._free[endpoint] -= 1',
+        '            self._free[endpoint] -= 0',
+        f'{_DOMAIN_TESTS}/limits',
+    ),
+    Mutant(
+        'classes share slots by weight',
+        _DOMAIN / 'limits/queue.py',
+        'start + 1 / place.request_class.weight',
+        'start + 1',
+        f'{_DOMAIN_TESTS}/limits',
+    ),
+    Mutant(
+        'retries are a share of first tries',
+        _DOMAIN / 'limits/budget.py',
+        '            self._left -= 1',
+        '            self._left -= 0',
+        f'{_DOMAIN_TESTS}/limits',
+    ),
+    Mutant(
+        'a team keeps to its limit',
+        _PROXY / 'admission.py',
+        '            if within:',
+        '            if team:',
+        f'{_PROXY_TESTS}/test_admission.py',
+    ),
+    Mutant(
+        'accepting compares with the expected revision',
+        _DOMAIN / 'configuration/accept.py',
+        '(Compare(CURRENT_KEY, store_revision),)',
+        '()',
+        f'{_DOMAIN_TESTS}/configuration',
+    ),
+    Mutant(
+        'a configuration in force never reverts',
+        _DOMAIN / 'spread/holdings.py',
+        'if held and record.version <= held.version:',
+        'if held and record.version == held.version:',
+        f'{_DOMAIN_TESTS}/spread {_DOMAIN_TESTS}/membership',
+    ),
+    Mutant(
+        'an old report of a VM is refused',
+        _DOMAIN / 'membership/member.py',
+        '    if report.beat <= known.beat:',
+        '    if report.beat < 0:',
+        f'{_DOMAIN_TESTS}/membership',
+    ),
+)
