--- a/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/run.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/run.py
@@ -78,7 +78,7 @@
             f'{"caught" if caught else "MISSED"}  {verdict.mutant.mechanism}: '
             f'{first} ({caught} tests)',
         )
-    return all(verdict.caught_by for verdict in verdicts)
+    return all(judged.caught_by for judged in verdicts)
 
 
 async def _try(
