--- a/packages/cowslipfork/src/cowslipfork/configuration/parser.py
+++ b/packages/cowslipfork/src/cowslipfork/configuration/parser.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from typing import Any
+from functools import lru_cache
+from typing import Any, Final
 
 from expression import Error, Ok, Result
 
@@ -14,11 +15,36 @@
 from cowslipfork.configuration.tables import CONFIGURATION
 from cowslipfork.ids import SiteName
 
+#: Configurations kept: of a node's own site, and the one before.
+KEPT: Final = 2
 
+
+@lru_cache(maxsize=KEPT)
 def parse_configuration(
     base_text: str,
     overlay_text: str,
     site: SiteName,
+) -> Result[Configuration, Problems]:
+    """Reads a site's configuration as ``parse_uncached`` does.
+
+    Most changes at full size concern another site's overlay: the same texts
+    are not read again.
+
+    Args:
+        base_text: INI text of the base file.
+        overlay_text: INI text of the site's overlay.
+        site: the site that the overlay is for.
+
+    Returns:
+        The configuration, or every problem at once; not to be changed.
+    """
+    return parse_uncached(base_text, overlay_text, site)
+
+
+def parse_uncached(
+    base_text: str,
+    overlay_text: str,
+    site: SiteName,
 ) -> Result[Configuration, Problems]:
     """Reads a site's configuration and checks it as a whole.
 
--- a/packages/cowslipfork/tests/configuration/test_parser.py
+++ b/packages/cowslipfork/tests/configuration/test_parser.py
@@ -152,6 +152,15 @@
     assert configuration.operators['ada'].role is Role.OPERATOR
 
 
+def test_the_same_texts_are_read_once():
+    first = parse_configuration(BASE, OVERLAY, SITE).ok
+    # Equal texts of another revision, not the same objects.
+    again = parse_configuration(f'{BASE} '[:-1], f'{OVERLAY} '[:-1], SITE).ok
+    assert again is first
+    other = parse_configuration(f'{BASE}\n[limits]\nhold = 3', OVERLAY, SITE)
+    assert other.ok.limits.hold == 3
+
+
 @pytest.mark.parametrize(
     ('text', 'rule'),
     [
