--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/metrics.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/metrics.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from typing import Final
 
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
@@ -46,3 +46,25 @@
         yield Observation(read())
 
     meter.create_observable_gauge(name, callbacks=[observe])
+
+
+def counters(
+    meter: Meter,
+    name: str,
+    label: str,
+    read: Callable[[], Mapping[str, int]],
+) -> None:
+    """Has counts by label read at each scrape.
+
+    Args:
+        meter: the node's meter.
+        name: name of the metric.
+        label: what the counts differ in.
+        read: gives the counts; none ever falls.
+    """
+
+    def observe(options: CallbackOptions) -> Iterable[Observation]:
+        for sort, count in read().items():
+            yield Observation(count, {label: sort})
+
+    meter.create_observable_counter(name, callbacks=[observe])
--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/node.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/node.py
@@ -5,6 +5,8 @@
 import asyncio
 import logging
 import signal
+from collections import Counter
+from collections.abc import Mapping
 from contextlib import AsyncExitStack, suppress
 from dataclasses import replace
 from functools import partial
@@ -40,7 +42,7 @@
     node_pb2,
     node_pb2_grpc,
 )
-from cowslipfork_proxy import administration, status
+from cowslipfork_proxy import administration, metrics, status
 from cowslipfork_proxy.admission import admitting
 from cowslipfork_proxy.callers import (
     CallerServer,
@@ -51,7 +53,6 @@
 from cowslipfork_proxy.endpoints import Login
 from cowslipfork_proxy.forwarding import CarrierService
 from cowslipfork_proxy.holdings import Holdings
-from cowslipfork_proxy.metrics import gauge, set_up_metrics
 from cowslipfork_proxy.peers import (
     FleetNeeds,
     FleetParts,
@@ -75,6 +76,7 @@
         self,
         settings: NodeSettings,
         store: Store,
+        store_calls: Mapping[str, int],
         stop: asyncio.Event,
     ) -> None:
         """Wires what needs no socket.
@@ -82,17 +84,25 @@
         Args:
             settings: the VM's own settings.
             store: the platform's store.
+            store_calls: calls made to it so far, by operation.
             stop: set when the node has to drain.
         """
         self._stop = stop
         self._settings = settings
         self._vm = settings.vm
         self._store = store
-        self._meter = set_up_metrics(
+        self._meter = metrics.set_up_metrics(
             settings.vm,
             settings.host,
             settings.metrics_port,
         )
+        # The scraper runs in a thread of its own, hence the copy.
+        metrics.counters(
+            self._meter,
+            'store_calls',
+            'operation',
+            lambda: dict(store_calls),
+        )
         self._violations = self._meter.create_counter('invariant_violations')
         self._holdings = Holdings(_empty(settings))
         self._login = Login()
@@ -148,7 +158,7 @@
         stack.callback(self._carriers.close)
 
     async def _meet_callers(self, stack: AsyncExitStack) -> CallerServer:
-        gauge(self._meter, 'configuration_revision', self._revision)
+        metrics.gauge(self._meter, 'configuration_revision', self._revision)
         callers = await serve_callers(
             CallerSettings(self._settings.host, self._settings.caller_port),
             admitting(self._router.run, TeamLimits(), self._configuration),
@@ -351,9 +361,13 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    store = EtcdStore(*settings.store)
+    calls: Counter[str] = Counter()
+    store = EtcdStore(
+        *settings.store,
+        count=lambda operation: calls.update((operation,)),
+    )
     try:
-        await Node(settings, store, stop).run()
+        await Node(settings, store, calls, stop).run()
     finally:
         with suppress(grpc.RpcError):
             await store.close()
--- a/packages/cowslipfork/src/cowslipfork/store/etcd.py
+++ b/packages/cowslipfork/src/cowslipfork/store/etcd.py
@@ -29,6 +29,9 @@
 #: Bound of the wait for a connection, in seconds.
 READY_TIMEOUT = 1.0
 
+#: Counted in place of a call that the budget did not allow.
+REFUSED = 'refused'
+
 #: Entries asked for in one call of a long list.
 PAGE_ENTRIES = 1000
 
@@ -179,7 +182,11 @@
         A failure here proves that nothing was sent.
         """
         await self._ready(operation)
-        await self._budget.take(operation)
+        try:
+            await self._budget.take(operation)
+        except StoreDown:
+            self._count(REFUSED)
+            raise
         self._count(operation)
 
     async def _ready(self, operation: str) -> None:
--- a/packages/cowslipfork/tests/store/test_etcd.py
+++ b/packages/cowslipfork/tests/store/test_etcd.py
@@ -7,7 +7,13 @@
 import pytest
 from aetcd import rpc
 
-from cowslipfork.store import EtcdStore, Put, StoreDown, StoreUncertain
+from cowslipfork.store import (
+    Budget,
+    EtcdStore,
+    Put,
+    StoreDown,
+    StoreUncertain,
+)
 
 
 class FaultyStore(rpc.KV, rpc.Watch):
@@ -119,3 +125,13 @@
             with pytest.raises(StoreDown) as raised:
                 await store.swap([], [Put('/k', b'')])
             assert type(raised.value) is StoreDown
+
+
+async def test_a_call_beyond_the_budget_is_counted_and_not_sent():
+    counted = []
+    async with served(grpc.StatusCode.OK, counted) as (store, _):
+        store._budget = Budget(0.001, 1)
+        for _ in range(3):
+            with pytest.raises(StoreDown):
+                await store.get('/k')
+    assert counted == ['get', 'refused', 'refused']
