--- a/packages/cowslipfork/tests/configuration/test_accept_machine.py
+++ b/packages/cowslipfork/tests/configuration/test_accept_machine.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import os
 
 from hypothesis import settings, strategies
 from hypothesis.stateful import (
@@ -152,10 +153,15 @@
             self.runner.close()
 
 
+# `SOAK=20 pytest --hypothesis-seed=7 <this file>` runs twenty times as long
+# with a seed; without SOAK the verdict is the same on each run.
+SOAK = int(os.environ.get('SOAK', '0'))
 AcceptMachine.TestCase.settings = settings(
-    derandomize=True,
+    derandomize=not SOAK,
+    database=None,
     deadline=None,
-    max_examples=100,
+    max_examples=100 * max(SOAK, 1),
     stateful_step_count=30,
+    print_blob=True,
 )
 TestAcceptMachine = AcceptMachine.TestCase
