--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/administration/servicer.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/administration/servicer.py
@@ -20,10 +20,9 @@
     Role,
     query_audit,
 )
-from cowslipfork.configuration.records import RecordUnreadable
 from cowslipfork.errors import CowslipforkError
 from cowslipfork.ids import Revision, VmId
-from cowslipfork.store import Store, StoreDown
+from cowslipfork.store import RecordUnreadable, Store, StoreDown
 from cowslipfork.wire import admin_pb2, admin_pb2_grpc
 from cowslipfork.wire.records_pb2 import ConfigurationRecord
 from cowslipfork_proxy.administration._replies import accept_reply, redacted
--- a/packages/cowslipfork/src/cowslipfork/configuration/records.py
+++ b/packages/cowslipfork/src/cowslipfork/configuration/records.py
@@ -7,7 +7,7 @@
 
 from google.protobuf.message import DecodeError
 
-from cowslipfork.errors import CowslipforkError
+from cowslipfork.store.unreadable import RecordUnreadable
 from cowslipfork.wire.records_pb2 import (
     AuditRecord,
     ConfigurationRecord,
@@ -39,19 +39,6 @@
 MAX_RECORD_BYTES = 700_000
 
 
-class RecordUnreadable(CowslipforkError):
-    """A value in the store is not what its key promises."""
-
-    def __init__(self, key: str) -> None:
-        """Remembers the key.
-
-        Args:
-            key: key of the value.
-        """
-        super().__init__(f'the store has no readable record at {key}')
-        self.key = key
-
-
 def configuration_key(revision: int) -> str:
     """Names the key of a revision's text."""
     return f'{_CONFIGURATION_PREFIX}{revision:0{_REVISION_DIGITS}}'
@@ -100,7 +87,7 @@
     """
     record = _decode(ConfigurationRecord(), key, content)
     if record.revision < 1:
-        raise RecordUnreadable(key)
+        raise RecordUnreadable(key, 'no revision')
     if record.packed:
         texts = _decode(Texts(), key, _unpack(record.packed, key))
         record.base = texts.base
@@ -124,7 +111,7 @@
     """
     record = _decode(AuditRecord(), key, content)
     if audit_key(record.revision) != key:
-        raise RecordUnreadable(key)
+        raise RecordUnreadable(key, f'is of revision {record.revision}')
     return record
 
 
@@ -150,9 +137,9 @@
     try:
         texts = unpacker.decompress(packed, 2 * MAX_TEXT_BYTES)
     except zlib.error as error:
-        raise RecordUnreadable(key) from error
+        raise RecordUnreadable(key, str(error)) from error
     if not unpacker.eof:
-        raise RecordUnreadable(key)
+        raise RecordUnreadable(key, 'texts are cut or too long')
     return texts
 
 
@@ -160,5 +147,5 @@
     try:
         record.ParseFromString(content)
     except DecodeError as error:
-        raise RecordUnreadable(key) from error
+        raise RecordUnreadable(key, str(error)) from error
     return record
--- a/packages/cowslipfork/src/cowslipfork/membership/links.py
+++ b/packages/cowslipfork/src/cowslipfork/membership/links.py
@@ -19,8 +19,8 @@
     PeerStream,
 )
 from cowslipfork.spread.holdings import Holdings
-from cowslipfork.spread.record import RecordUnreadable
 from cowslipfork.store.backoff import backoff_delays
+from cowslipfork.store.unreadable import RecordUnreadable
 from cowslipfork.wire import node_pb2
 
 #: Seconds without a heartbeat after which a link is opened anew.
--- a/packages/cowslipfork/src/cowslipfork/spread/__init__.py
+++ b/packages/cowslipfork/src/cowslipfork/spread/__init__.py
@@ -5,11 +5,11 @@
 from cowslipfork.spread.record import (
     HeldRecord,
     RecordKind,
-    RecordUnreadable,
     Version,
     kind_of,
     read_record,
 )
+from cowslipfork.store.unreadable import RecordUnreadable
 
 __all__ = (
     'ChangeLog',
--- a/packages/cowslipfork/src/cowslipfork/spread/fetch.py
+++ b/packages/cowslipfork/src/cowslipfork/spread/fetch.py
@@ -11,7 +11,7 @@
 from cowslipfork.membership.messages import record_from_wire, record_to_wire
 from cowslipfork.membership.port import PeerSilent
 from cowslipfork.spread.holdings import Holdings
-from cowslipfork.spread.record import RecordUnreadable
+from cowslipfork.store.unreadable import RecordUnreadable
 from cowslipfork.wire import node_pb2
 
 #: Seconds for which two nodes may differ before one fetches: news on its way
--- a/packages/cowslipfork/src/cowslipfork/spread/record.py
+++ b/packages/cowslipfork/src/cowslipfork/spread/record.py
@@ -7,10 +7,11 @@
 
 from google.protobuf.message import DecodeError
 
-from cowslipfork.errors import CowslipforkError
+from cowslipfork.configuration.records import CURRENT_KEY
+from cowslipfork.store.unreadable import RecordUnreadable
 from cowslipfork.wire import records_pb2
 
-CONFIGURATION_KEY = '/cowslipfork/configuration/current'
+CONFIGURATION_KEY = CURRENT_KEY
 GROUPS_PREFIX = '/cowslipfork/groups/'
 PLATFORM_PREFIX = '/platform/'
 VMS_PREFIX = '/platform/vms/'
@@ -54,21 +55,6 @@
     content: bytes | None
 
 
-class RecordUnreadable(CowslipforkError):
-    """A value of the store or of a peer is no record of its key."""
-
-    def __init__(self, key: str, cause: str) -> None:
-        """Remembers the key.
-
-        Args:
-            key: key in the store.
-            cause: what is wrong.
-        """
-        super().__init__(f'record {key} is unreadable: {cause}')
-        self.key = key
-        self.cause = cause
-
-
 def kind_of(key: str) -> RecordKind:
     """Tells the kind of a key.
 
--- a/packages/cowslipfork/src/cowslipfork/spread/relay.py
+++ b/packages/cowslipfork/src/cowslipfork/spread/relay.py
@@ -12,11 +12,11 @@
     CONFIGURATION_KEY,
     GROUPS_PREFIX,
     PLATFORM_PREFIX,
-    RecordUnreadable,
     read_record,
 )
 from cowslipfork.store import Event, Store, StoreDown
 from cowslipfork.store.backoff import backoff_delays
+from cowslipfork.store.unreadable import RecordUnreadable
 
 #: What relays watch; the history of configurations and the audit trail are
 #: read by operators only.
--- a/packages/cowslipfork/src/cowslipfork/store/__init__.py
+++ b/packages/cowslipfork/src/cowslipfork/store/__init__.py
@@ -13,6 +13,7 @@
     StoreUncertain,
     Swapped,
 )
+from cowslipfork.store.unreadable import RecordUnreadable
 
 __all__ = (
     'Budget',
@@ -21,6 +22,7 @@
     'EtcdStore',
     'Event',
     'Put',
+    'RecordUnreadable',
     'Store',
     'StoreDown',
     'StoreUncertain',
--- a/packages/cowslipfork/tests/configuration/test_accept.py
+++ b/packages/cowslipfork/tests/configuration/test_accept.py
@@ -18,8 +18,8 @@
     KEPT_CONFIGURATIONS,
     MAX_RECORD_BYTES,
     MAX_TEXT_BYTES,
-    RecordUnreadable,
 )
+from cowslipfork.store import RecordUnreadable
 from cowslipfork.store.memory import Fault, MemoryStore
 from cowslipfork.wire.records_pb2 import ConfigurationRecord
 
--- a/packages/cowslipfork/tests/configuration/test_audit.py
+++ b/packages/cowslipfork/tests/configuration/test_audit.py
@@ -3,9 +3,9 @@
 from cowslipfork.configuration.audit import AuditQuery, query_audit
 from cowslipfork.configuration.records import (
     CURRENT_KEY,
-    RecordUnreadable,
     audit_key,
 )
+from cowslipfork.store import RecordUnreadable
 from cowslipfork.store.memory import MemoryStore
 from cowslipfork.wire.records_pb2 import AuditRecord, ConfigurationRecord
 
