Callers: tests run on uvloop; TLS bytes that come during the upgrade

Cause: the tests ran on asyncio's own loop, nodes run on uvloop. On uvloop asyncmy's TLS handshake hung for its 60 s: bytes that came between the look into the reader and the change of protocol, one round of the loop, were lost. The reader is now emptied after the protocol has changed, when nothing more can come to it.

Log events follow the form of cowslipfork.logs (name and fields).

--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/callers/connection.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/callers/connection.py
@@ -104,7 +104,7 @@
             self.stream.when_gone(self._caller_gone)
             await self.command_phase()
         except ConnectionClosed:
-            _log.debug('event=caller_gone caller=%s', self.connection_id)
+            _log.debug('caller gone', extra={'caller': self.connection_id})
         except CallerFailure as failure:
             await self.stream.write(make_error(failure))
         finally:
--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/callers/server.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/callers/server.py
@@ -101,6 +101,7 @@
             CertificateUnusable: it can't be read; the old one stays.
         """
         self._tls = _context(self._settings)
+        _log.info('caller certificate replaced')
 
     async def start(self) -> None:
         """Starts to accept callers."""
@@ -128,7 +129,7 @@
         if tasks:
             limit = self._configuration().limits.drain
             _, cut = await asyncio.wait(tasks, timeout=limit)
-            _log.info('event=callers_drained cut=%d', len(cut))
+            _log.info('callers drained', extra={'cut': len(cut)})
         await self.close()
 
     async def close(self) -> None:
@@ -170,14 +171,9 @@
         try:
             await connection.serve()
         except (ConnectionError, asyncio.CancelledError):
-            _log.debug(
-                'event=caller_closed caller=%s', connection.connection_id
-            )
+            _log.debug('caller closed', extra=_fields(connection))
         except Exception:
-            _log.exception(
-                'event=caller_failed caller=%s',
-                connection.connection_id,
-            )
+            _log.exception('caller failed', extra=_fields(connection))
 
     def _connection(
         self,
@@ -199,6 +195,13 @@
         return connection
 
 
+def _fields(connection: CallerConnection) -> dict[str, object]:
+    return {
+        'caller': connection.connection_id,
+        'team': connection.session.username,
+    }
+
+
 def _context(settings: CallerSettings) -> SSLContext | None:
     if settings.certificate is None:
         return None
--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/callers/stream.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/callers/stream.py
@@ -169,19 +169,19 @@
 
         A caller sends its first TLS message right behind its request for
         TLS, so that it may be in the reader already. The loop's upgrade
-        reads from the socket only; what came early is handed to it once its
-        protocol is connected, two rounds of the loop later.
+        reads from the socket only. One round of the loop later its protocol
+        has taken the reader's place, and nothing more comes to the reader;
+        after another round it is connected and takes what came early.
 
         Args:
             context: certificate and key.
         """
-        early = self._reader.take_buffered()
         upgrade = asyncio.ensure_future(self._library.start_tls(context))
+        await asyncio.sleep(0)
+        early = self._reader.take_buffered()
+        await asyncio.sleep(0)
         if early:
-            await asyncio.sleep(0)
-            await asyncio.sleep(0)
-            protocol = self._writer.transport.get_protocol()
-            _feed(protocol, early)
+            _feed(self._writer.transport.get_protocol(), early)
         await upgrade
 
     async def _long(self, length: int) -> bytes:
--- a/packages/cowslipfork-proxy/tests/callers/conftest.py
+++ b/packages/cowslipfork-proxy/tests/callers/conftest.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 
 import pytest
+import uvloop
 from mysql_mimic.auth import NativePasswordAuthPlugin
 
 from cowslipfork.configuration import (
@@ -101,6 +102,11 @@
         return [request.sql for request in self.requests]
 
 
+def pytest_asyncio_loop_factories(config, item):
+    """Runs the tests on the loop that nodes run on."""
+    return {'uvloop': uvloop.new_event_loop}
+
+
 @pytest.fixture
 def run() -> FakeRun:
     return FakeRun()
