--- a/packages/cowslipfork/src/cowslipfork/membership/hearing.py
+++ b/packages/cowslipfork/src/cowslipfork/membership/hearing.py
@@ -6,7 +6,7 @@
 from typing import TypeVar
 
 from cowslipfork.ids import VmId
-from cowslipfork.membership.member import Heard
+from cowslipfork.membership.member import Heard, Report
 
 _Kept = TypeVar('_Kept')
 
@@ -51,15 +51,25 @@
         self._heard = _only(self._heard, self._expected)
         self._doubted_at = _only(self._doubted_at, self._expected)
 
-    def note(self, vm: VmId, deaf_to: frozenset[VmId], now: float) -> None:
-        """Takes in a heartbeat.
+    def note(
+        self,
+        report: Report,
+        deaf_to: frozenset[VmId],
+        now: float,
+    ) -> None:
+        """Takes in a heartbeat, unless a later one came before.
 
         Args:
-            vm: the neighbour.
+            report: the neighbour about itself.
             deaf_to: VMs that the neighbour should hear and does not.
             now: seconds.
         """
-        self._heard[vm] = Heard(now, deaf_to)
+        vm = report.vm
+        order = (report.incarnation, report.beat)
+        last = self._heard.get(vm)
+        if last and order <= last.order:
+            return
+        self._heard[vm] = Heard(now, order, deaf_to)
         self._expected[vm] = now
         self._doubted_at.pop(vm, None)
 
--- a/packages/cowslipfork/src/cowslipfork/membership/member.py
+++ b/packages/cowslipfork/src/cowslipfork/membership/member.py
@@ -130,10 +130,12 @@
 
     Attributes:
         at: seconds, when it came.
+        order: incarnation and beat of the heartbeat.
         deaf_to: VMs that the neighbour should hear and does not.
     """
 
     at: float
+    order: tuple[int, int]
     deaf_to: frozenset[VmId] = field(default_factory=frozenset)
 
 
--- a/packages/cowslipfork/src/cowslipfork/membership/members.py
+++ b/packages/cowslipfork/src/cowslipfork/membership/members.py
@@ -56,6 +56,7 @@
         self._lagging = Laggards()
         self._changes: ChangeLog[VmId] = ChangeLog()
         self._watchers: list[Watcher] = []
+        self._listed = False
         self._in_touch = False
         self._ticked_at = now
 
@@ -157,8 +158,10 @@
             The member, or ``StaleReport`` when the heartbeat is old.
         """
         observed = self.observe(report, now)
-        if observed.is_ok():
-            self._hearing.note(report.vm, deaf_to, now)
+        member = self._members.get(report.vm)
+        # News of this very beat may have come by another way before.
+        if member and report.incarnation == member.report.incarnation:
+            self._hearing.note(report, deaf_to, now)
         return observed
 
     def observe(self, report: Report, now: float) -> Observed:
@@ -208,6 +211,7 @@
             listed: the whole list.
             now: seconds.
         """
+        self._listed = True
         others = (
             entry for entry in listed.values() if entry.place.vm != self._own.vm
         )
@@ -255,8 +259,13 @@
 
         Returns:
             Whether it hears a majority of its region's VMs, and they hear it.
+            Before it has the platform's list it does not know which those are.
         """
-        return self._in_touch and now - self._ticked_at <= CUT_AFTER
+        return (
+            self._listed
+            and self._in_touch
+            and now - self._ticked_at <= CUT_AFTER
+        )
 
     def _hear_of_self(self, report: Report) -> Observed:
         own = self._own
--- a/packages/cowslipfork/src/cowslipfork/membership/quorum.py
+++ b/packages/cowslipfork/src/cowslipfork/membership/quorum.py
@@ -5,7 +5,13 @@
 from collections.abc import Collection, Mapping
 
 from cowslipfork.ids import VmId
-from cowslipfork.membership.member import Member, MemberState, Proof, Report
+from cowslipfork.membership.member import (
+    Listing,
+    Member,
+    MemberState,
+    Proof,
+    Report,
+)
 
 #: VMs of its own region that must miss a VM before it counts as gone.
 CONFIRMATIONS = 2
@@ -46,6 +52,13 @@
     return needed > 0 and len(report.witnesses & able) >= needed
 
 
+def _ended(member: Member) -> bool:
+    return member.report.proof in _ENDED or (
+        member.report.state is MemberState.GONE
+        and member.listing is Listing.REMOVED
+    )
+
+
 def holds_majority(
     own: Report,
     members: Mapping[VmId, Member],
@@ -68,8 +81,7 @@
     counted = {
         member.report.vm: member.report.state
         for member in members.values()
-        if member.report.place.region == region
-        and member.report.proof not in _ENDED
+        if member.report.place.region == region and not _ended(member)
     }
     near = {
         vm
--- a/packages/cowslipfork/tests/membership/test_members.py
+++ b/packages/cowslipfork/tests/membership/test_members.py
@@ -45,6 +45,7 @@
     known.hearing.expect(map(VmId, others), 0)
     for name in others:
         known.heard(report(name), frozenset(), 0)
+    known.list_vms({}, 0)
     known.tick(0)
     return known
 
--- /dev/null
+++ b/packages/cowslipfork/tests/membership/test_members_machine.py
@@ -0,0 +1,189 @@
+from collections import Counter
+from dataclasses import replace
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from cowslipfork.ids import (
+    FailureDomain,
+    GroupName,
+    Incarnation,
+    RegionName,
+    VmId,
+)
+from cowslipfork.membership.handover import holders_of
+from cowslipfork.membership.member import ListedVm, MemberState, Report
+from cowslipfork.membership.members import Members
+from cowslipfork.membership.rendezvous import Place, carrier_of
+
+HOME = RegionName('r')
+GROUPS = [GroupName(f'group-{number}') for number in range(8)]
+NAMES = [VmId(name) for name in 'abcde']
+TICK = 0.25
+
+names = st.sampled_from(NAMES)
+
+
+def listed(names):
+    return {
+        name: ListedVm(Place(name, FailureDomain('d'), HOME), name)
+        for name in names
+    }
+
+
+class MembersMachine(RuleBasedStateMachine):
+    """Five nodes in a mesh whose ways are cut one by one.
+
+    Heartbeats and all reports pass over every open way at each tick.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.now = 0.0
+        self.starts = 0
+        self.cut = set()
+        self.running = {}
+        self.known = {}
+        for name in NAMES:
+            self.start(name)
+        self.pass_time(8)
+
+    def start(self, name):
+        self.starts += 1
+        place = Place(name, FailureDomain('d'), HOME)
+        own = Report(place, name, Incarnation(self.starts))
+        members = Members(own, self.now)
+        members.hearing.expect(set(NAMES) - {name}, self.now)
+        members.list_vms(listed(NAMES), self.now)
+        self.running[name] = members
+
+    def hears(self, name, other):
+        return (other, name) not in self.cut
+
+    def pass_time(self, ticks):
+        for _ in range(ticks):
+            self.now += TICK
+            beats = {
+                name: members.beat() for name, members in self.running.items()
+            }
+            for name, members in self.running.items():
+                self.listen(name, members, beats)
+            for name, members in self.running.items():
+                members.tick(self.now)
+                self.settle(name, members)
+            self.check_carriers()
+
+    def listen(self, name, members, beats):
+        for other, report in beats.items():
+            if other != name and self.hears(name, other):
+                source = self.running[other]
+                deaf_to = source.hearing.deaf_to(self.now)
+                members.heard(report, deaf_to, self.now)
+                for member in list(source.all.values()):
+                    members.observe(member.report, self.now)
+
+    def settle(self, name, members):
+        places = members.places()
+        wanted = {
+            group
+            for group in GROUPS
+            if members.in_touch(self.now)
+            and carrier_of(group, places, HOME) == name
+            and not holders_of(group, members.all)
+        }
+        if wanted != members.own.carries:
+            members.update(replace(members.own, carries=frozenset(wanted)))
+
+    def check_carriers(self):
+        # Two carriers would use twice the connections of their endpoints.
+        carried = Counter(
+            group
+            for members in self.running.values()
+            for group in members.own.carries
+        )
+        assert max(carried.values(), default=0) <= 1
+
+    @rule(ticks=st.integers(1, 8))
+    def wait(self, ticks):
+        self.pass_time(ticks)
+
+    @rule(name=names, other=names)
+    def cut_one_way(self, name, other):
+        self.cut.add((name, other))
+
+    @rule(apart=st.sets(names, min_size=1, max_size=4))
+    def part(self, apart):
+        self.cut = {
+            (name, other)
+            for name in NAMES
+            for other in NAMES
+            if (name in apart) is not (other in apart)
+        }
+
+    @rule()
+    def heal(self):
+        self.cut.clear()
+
+    @rule(name=names)
+    def kill(self, name):
+        if len(self.running) > 1 and self.running.pop(name, None):
+            for other, members in self.running.items():
+                if self.hears(other, name):
+                    members.lost(name, self.now)
+
+    @rule(name=names)
+    def restart(self, name):
+        if name not in self.running:
+            self.start(name)
+
+    @rule(name=names)
+    def leave(self, name):
+        members = self.running.get(name)
+        if members:
+            members.update(replace(members.own, state=MemberState.LEAVING))
+
+    @invariant()
+    def nothing_known_falls_back(self):
+        for name, members in self.running.items():
+            for other, member in members.all.items():
+                key = (name, members.own.incarnation, other)
+                report = member.report
+                order = (report.incarnation, report.beat)
+                before, left = self.known.get(key, ((0, 0), None))
+                assert order >= before
+                if report.state is MemberState.LEAVING:
+                    left = report.incarnation
+                if left == report.incarnation:
+                    assert report.state is not MemberState.LIVE
+                self.known[key] = (order, left)
+
+    def teardown(self):
+        self.cut.clear()
+        self.pass_time(1)
+        # The platform's list has caught up.
+        for members in self.running.values():
+            members.list_vms(listed(self.running), self.now)
+        self.pass_time(40)
+        for name, members in self.running.items():
+            for other, source in self.running.items():
+                if other != name:
+                    assert members.all[other].state is source.own.state
+            for other in set(members.all) - set(self.running):
+                assert members.all[other].state is MemberState.GONE
+            assert members.in_touch(self.now)
+        carried = [members.own.carries for members in self.running.values()]
+        if any(
+            members.own.state is MemberState.LIVE
+            for members in self.running.values()
+        ):
+            assert set().union(*carried) == set(GROUPS)
+
+
+TestMembers = MembersMachine.TestCase
+TestMembers.settings = settings(
+    derandomize=True,
+    max_examples=20,
+    stateful_step_count=12,
+    deadline=None,
+)
