--- a/packages/cowslipfork-lab/src/cowslipfork_lab/cli.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/cli.py
@@ -7,6 +7,7 @@
 import signal
 import sys
 from collections.abc import Coroutine
+from contextlib import suppress
 from pathlib import Path
 from typing import Annotated, Any
 
@@ -18,6 +19,7 @@
 from cowslipfork_lab.endpoint import EndpointSettings, run_endpoint
 from cowslipfork_lab.load.command import run_load
 from cowslipfork_lab.relay import run_relay
+from cowslipfork_lab.serve import serve
 from cowslipfork_lab.store import run_store
 
 app = typer.Typer(
@@ -26,6 +28,7 @@
 
 _SAMPLE = Path('samples/hilal')
 _RUN = Path('run/demo')
+_SERVED = Path('run/serve')
 _PRIMARY_HELP = 'host:port of the first primary to follow; self to be it.'
 
 
@@ -96,6 +99,16 @@
         raise typer.Exit(1) from error
 
 
+@app.command('serve')
+def serve_cluster(
+    sample: Annotated[Path, typer.Option(help='Deployment.')] = _SAMPLE,
+    directory: Annotated[Path, typer.Option(help='Logs go here.')] = _SERVED,
+    first_port: Annotated[int, typer.Option(envvar='SERVE_PORT')] = 0,
+) -> None:
+    """Starts everything on loopback and keeps it until ctrl-C."""
+    uvloop.run(serve(sample, directory, first_port))
+
+
 def run_until_signal(work: Coroutine[Any, Any, None]) -> None:
     """Runs a server until SIGTERM or ctrl-C.
 
@@ -110,4 +123,5 @@
     task = asyncio.create_task(work)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, task.cancel)
-    await asyncio.gather(task, return_exceptions=False)
+    with suppress(asyncio.CancelledError):
+        await task
--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/node.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/node.py
@@ -40,8 +40,7 @@
     node_pb2,
     node_pb2_grpc,
 )
-from cowslipfork_proxy import status
-from cowslipfork_proxy.administration import AdminParts, AdminService
+from cowslipfork_proxy import administration, status
 from cowslipfork_proxy.admission import admitting
 from cowslipfork_proxy.callers import (
     CallerServer,
@@ -101,7 +100,7 @@
         self._reach = Reach(
             self._vm,
             self._holdings,
-            grpc.aio.insecure_channel,
+            partial(administration.peer_channel, settings),
         )
         self._fleet = self._join(asyncio.get_running_loop().time())
         self._carriers = Carriers(
@@ -176,7 +175,7 @@
         return not self._stop.is_set()
 
     def _peer_server(self) -> grpc.aio.Server:
-        server = grpc.aio.server()
+        server = administration.peer_server(self._settings)
         node_pb2_grpc.add_CarrierServicer_to_server(
             CarrierService(self._carriers.run),
             server,
@@ -186,28 +185,24 @@
             server,
         )
         admin_pb2_grpc.add_AdminServicer_to_server(
-            AdminService(
-                AdminParts(
+            administration.AdminService(
+                administration.AdminParts(
                     vm=self._vm,
                     store=self._store,
                     changes=ChangeLog(self._store),
                     configuration=self._configuration,
                     status=self._status,
                     drain=self._drain,
+                    admin_of=self._reach.admin_of,
                     bootstrap_hash=self._settings.bootstrap_token_hash,
                 ),
             ),
             server,
         )
-        settings = self._settings
-        server.add_insecure_port(f'{settings.host}:{settings.peer_port}')
         return server
 
-    async def _drain(self, vm: VmId) -> bool:
-        if vm != self._vm:
-            return False
+    async def _drain(self) -> None:
         self._stop.set()
-        return True
 
     def _status(self) -> admin_pb2.StatusReply:
         now = asyncio.get_running_loop().time()
@@ -293,7 +288,7 @@
                 address=f'{settings.host}:{settings.peer_port}',
                 store=self._store,
                 holdings=self._holdings,
-                open_channel=grpc.aio.insecure_channel,
+                open_channel=partial(administration.peer_channel, settings),
                 probe=self._probe,
                 diverged=self._count_divergence,
             ),
--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/reach.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/reach.py
@@ -11,6 +11,7 @@
 from cowslipfork.groups import Evidence
 from cowslipfork.ids import EndpointId, Term, VmId
 from cowslipfork.requests import Run
+from cowslipfork.wire import admin_pb2_grpc
 from cowslipfork_proxy.forwarding import CarrierLink
 from cowslipfork_proxy.holdings import Holdings
 from cowslipfork_proxy.probing import MOST_ASKED, ask_nodes
@@ -84,6 +85,20 @@
             self._holdings.configuration.failover.probe_timeout,
         )
 
+    def admin_of(self, vm: VmId) -> admin_pb2_grpc.AdminStub | None:
+        """Reaches the administration API of another VM.
+
+        Args:
+            vm: the VM.
+
+        Returns:
+            Its stub; None if no such VM is known.
+        """
+        neighbour = self._holdings.neighbours.get(vm)
+        if neighbour is None:
+            return None
+        return admin_pb2_grpc.AdminStub(self._channel(neighbour.address))
+
     async def close(self) -> None:
         """Closes everything; statements on links end."""
         await asyncio.gather(*(link.close() for link in self._links.values()))
