New links tell reports only; records that differ are fetched

Links now start at the newest record; a node that holds nothing fetches at once, others after 2 s of different digests.

--- a/packages/cowslipfork/src/cowslipfork/membership/link.py
+++ b/packages/cowslipfork/src/cowslipfork/membership/link.py
@@ -39,7 +39,8 @@
     """What one neighbour has been told.
 
     The stream keeps order and loses nothing while it lasts, so each change
-    is sent once; a new link starts from the beginning.
+    is sent once. A new link tells all reports from the beginning; records
+    that differ are found by digest and fetched.
     """
 
     def __init__(
@@ -60,7 +61,7 @@
         self._stream = stream
         self._news = asyncio.Event()
         self._reports_told = 0
-        self._records_told = 0
+        self._records_told = holdings.changes.last
         self._received: dict[str, Version] = {}
         self._peer: VmId | None = None
 
--- a/packages/cowslipfork/src/cowslipfork/spread/fetch.py
+++ b/packages/cowslipfork/src/cowslipfork/spread/fetch.py
@@ -65,7 +65,7 @@
             self._work.set()
         if digest == self._holdings.digest:
             self._differs.pop(vm, None)
-        elif now - self._differs.setdefault(vm, now) > DIFFER_AFTER:
+        elif self._is_overdue(self._differs.setdefault(vm, now), now):
             self._work.set()
 
     async def run(self) -> None:
@@ -79,7 +79,7 @@
             late = [
                 vm
                 for vm, since in self._differs.items()
-                if clock() - since > DIFFER_AFTER
+                if self._is_overdue(since, clock())
             ]
             if late:
                 vm = random.choice(late)
@@ -87,6 +87,10 @@
                 await self._fetch(vm)
                 await asyncio.sleep(FETCH_PAUSE * random.uniform(1, 2))
 
+    def _is_overdue(self, since: float, now: float) -> bool:
+        # A node that has just started holds nothing and need not wait.
+        return now - since > DIFFER_AFTER or not self._holdings.digest
+
     async def _fetch_configuration(self) -> None:
         vm, revision = self._ahead.popitem()
         if revision > self._holdings.revision:
--- a/packages/cowslipfork/tests/membership/test_members.py
+++ b/packages/cowslipfork/tests/membership/test_members.py
@@ -262,6 +262,15 @@
     assert known.own.incarnation == 10
 
 
+def test_node_without_the_platform_s_list_relies_on_nothing():
+    alone = Members(report('a'), 0)
+    alone.tick(0)
+    assert not alone.in_touch(0)
+    alone.list_vms({VmId('a'): ListedVm(report('a').place, 'a:1')}, 0)
+    alone.tick(0)
+    assert alone.in_touch(0)
+
+
 def test_leaving_is_never_taken_back_and_gets_no_work():
     known = members('b')
     known.update(replace(known.own, state=MemberState.LEAVING))
