Supervision adopts its own records first

Cause: the carrier's tracker heard of a claim only through whoever spreads it; a slow spreader would have let reads and writes go on in the old term. The own tracker now adopts before announce is called, so the carrier needs no listener for it. The text of AskPeers says that peers are asked at once.

--- a/packages/cowslipfork/src/cowslipfork/groups/supervision.py
+++ b/packages/cowslipfork/src/cowslipfork/groups/supervision.py
@@ -6,7 +6,7 @@
 import logging
 import math
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from expression import Result
 
@@ -74,6 +74,7 @@
     Args:
         supervision: what to work with.
     """
+    supervision = _adopting(supervision)
     async with asyncio.TaskGroup() as tasks:
         tasks.create_task(supervision.tracker.run())
         tasks.create_task(
@@ -82,6 +83,17 @@
         tasks.create_task(_oversee(supervision))
 
 
+def _adopting(supervision: Supervision) -> Supervision:
+    """Has the own tracker hear of a record before anybody else."""
+    claimant = supervision.claimant
+
+    def announce(record: GroupRecord) -> None:
+        supervision.tracker.adopt(record)
+        claimant.announce(record)
+
+    return replace(supervision, claimant=replace(claimant, announce=announce))
+
+
 async def _oversee(supervision: Supervision) -> None:
     tracker = supervision.tracker
     may_replace_stalled = _paced(STALL_PAUSE)
--- a/packages/cowslipfork/src/cowslipfork/groups/suspicion.py
+++ b/packages/cowslipfork/src/cowslipfork/groups/suspicion.py
@@ -37,8 +37,8 @@
     UNHEARD = 'unheard'
 
 
-#: Asks nodes in other failure domains to examine a primary of a term; gives
-#: one piece of evidence for each node asked.
+#: Asks nodes in other failure domains to examine a primary of a term, all at
+#: the same time; gives one piece of evidence for each node asked.
 AskPeers = Callable[[EndpointId, Term], Awaitable[Sequence[Evidence]]]
 
 _AGAINST = frozenset((Evidence.DEPOSED, Evidence.SILENT, Evidence.REFUSED))
--- a/packages/cowslipfork/tests/fakes/cluster.py
+++ b/packages/cowslipfork/tests/fakes/cluster.py
@@ -243,8 +243,8 @@
 
     def spread(self, source, record):
         self.published.append(record)
-        source.tracker.adopt(record)
-        self._hear(record, self._near(source))
+        near = [node for node in self._near(source) if node is not source]
+        self._hear(record, near)
 
     def apart(self, one, other):
         return bool({one.name, other.name} & self.isolated)
