--- a/packages/cowslipfork/src/cowslipfork/groups/supervision.py
+++ b/packages/cowslipfork/src/cowslipfork/groups/supervision.py
@@ -6,13 +6,14 @@
 import logging
 import math
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 
 from expression import Result
 
 from cowslipfork.configuration import Group
 from cowslipfork.groups._followers import mend_followers
 from cowslipfork.groups.condition import Condition, Health
+from cowslipfork.groups.pauses import ClaimPauses
 from cowslipfork.groups.promotion import (
     Claimant,
     ClaimFailure,
@@ -57,6 +58,7 @@
         rank: rank of this node among the group's claimers; 0 claims first.
         begin_term: writes the first entry of a term.
         health: is told how the group fares.
+        pauses: between claims that fail in a row.
     """
 
     group: Group
@@ -66,6 +68,7 @@
     rank: Callable[[], int]
     begin_term: BeginTerm
     health: Health
+    pauses: ClaimPauses = field(default_factory=ClaimPauses)
 
 
 async def supervise(supervision: Supervision) -> None:
@@ -104,6 +107,7 @@
             continue
         trouble = trouble_of(tracker)
         if trouble is None:
+            supervision.pauses.reset()
             _become(supervision, Condition.SERVING)
         elif await _needs_replacing(supervision, trouble, may_replace_stalled):
             await _replace_primary(supervision, trouble)
@@ -221,6 +225,7 @@
     _note_claim(supervision)
     match await _promoted(supervision, stored):
         case Result(tag='ok'):
+            supervision.pauses.reset()
             _become(supervision, Condition.SERVING)
         case Result(tag='error', error=failure):
             await _failed(supervision, failure)
@@ -243,8 +248,7 @@
         _become(supervision, Condition.STORE_DOWN)
     elif failure is ClaimFailure.NO_MAJORITY:
         _become(supervision, Condition.NO_MAJORITY)
-    step = supervision.tracker.failover.claim_step
-    await asyncio.sleep(step * (supervision.rank() + 1) / 2)
+    await asyncio.sleep(supervision.pauses.take())
 
 
 def _note_claim(supervision: Supervision) -> None:
--- a/packages/cowslipfork/tests/fakes/cluster.py
+++ b/packages/cowslipfork/tests/fakes/cluster.py
@@ -29,8 +29,9 @@
     read_record,
     supervise,
 )
+from cowslipfork.groups.pauses import ClaimPauses
 from cowslipfork.ids import Mark
-from cowslipfork.store import StoreDown
+from cowslipfork.store import StoreDown, backoff_delays
 from cowslipfork.store.memory import MemoryStore
 
 TIMEOUT = 0.25
@@ -160,6 +161,7 @@
             lambda: self.rank,
             self.begin_term,
             self.health,
+            ClaimPauses(lambda: backoff_delays(0.25, 2, middle)),
         )
         self.task = asyncio.create_task(self._run(supervision))
 
@@ -380,6 +382,10 @@
         raise AssertionError(f'no acknowledged write within {seconds} s')
 
 
+def middle(least, most):
+    return (least + most) / 2
+
+
 def serving(node):
     return node.health.condition is Condition.SERVING
 
--- a/packages/cowslipfork/tests/groups/test_supervision.py
+++ b/packages/cowslipfork/tests/groups/test_supervision.py
@@ -178,6 +178,17 @@
     assert not cluster.lost()
 
 
+@clustered
+async def test_claims_spare_a_store_that_is_down(cluster):
+    cluster.store.fail(Fault.DOWN)
+    kill(cluster)
+    await asyncio.sleep(5)
+    before = cluster.store.calls['get']
+    await asyncio.sleep(60)
+    # The claimers ask about once a second each, gossip twice.
+    assert cluster.store.calls['get'] - before < 60 * (3 + 2)
+
+
 @clustered
 async def test_a_store_that_is_down_harms_nothing_else(cluster):
     cluster.store.fail(Fault.DOWN)
