Tests: a paused claimer wakes to refusals; a term begins with its own entry

Cause: the claim table had deaths only; a paused claimer whose lease or claim is over must find its swap or fence refused. Paused after each of the seven calls of a claim, another finishes, the first wakes and adopts the newer record.

--- a/packages/cowslipfork/tests/groups/test_supervision.py
+++ b/packages/cowslipfork/tests/groups/test_supervision.py
@@ -274,3 +274,38 @@
     await asyncio.sleep(2)
     assert not cluster.lost()
     assert len({node.tracker.record for node in cluster.nodes}) == 1
+
+
+#: Calls of a claim after which its claimer is paused, and what it finds when
+#: it wakes: its swap or its fence is refused.
+@pytest.mark.parametrize('calls', range(1, CLAIM_CALLS + 1))
+@clustered
+async def test_a_paused_claimer_wakes_to_refusals(cluster, calls):
+    paused, other = cluster.nodes[:2]
+    before = paused.fatal.calls
+    kill(cluster)
+    await until(lambda: paused.fatal.calls - before >= calls)
+    paused.fatal.awake.clear()
+    cluster.isolated.add(paused.name)
+    other.rank = 0
+    await cluster.until_serving(term=2)
+    serving_record = (await read_record(cluster.store, GROUP)).record
+    paused.fatal.awake.set()
+    await asyncio.sleep(0.3)
+    cluster.isolated.clear()
+    await asyncio.sleep(2)
+    record = (await read_record(cluster.store, GROUP)).record
+    assert paused.tracker.record == record
+    # It may find its own claim superseded, never undo the other's.
+    assert record.term >= serving_record.term and record.serving
+    assert cluster.primary().name == record.primary
+
+
+@clustered
+async def test_a_term_begins_with_an_entry_of_its_own(cluster):
+    kill(cluster)
+    tracker = cluster.nodes[0].tracker
+    await until(lambda: tracker.record.serving and tracker.record.term == 2)
+    # A repeated job writes nothing, and is confirmed.
+    found = await tracker.acknowledged(tracker.record.term, now() + 1)
+    assert found.ok.term == 2
