--- a/packages/cowslipfork/src/cowslipfork/reads/choose.py
+++ b/packages/cowslipfork/src/cowslipfork/reads/choose.py
@@ -8,6 +8,7 @@
 from expression import Error, Ok, Result
 
 from cowslipfork.groups import Tracker
+from cowslipfork.ids import Mark
 from cowslipfork.outcomes import NotRun, Reason
 from cowslipfork.reads.eligible import (
     Candidate,
@@ -21,6 +22,9 @@
 #: Seconds that a read waits for a replica before it takes the primary.
 PATIENCE = 0.05
 
+#: Reads held for a check while the primary is silent.
+MOST_HELD = 200
+
 #: Bounds and default of the time to come back, in milliseconds.
 MIN_RETRY_MS = 10
 MAX_RETRY_MS = 5000
@@ -36,6 +40,7 @@
     deadline: float,
     *,
     primary_reads: bool,
+    hold: int = MOST_HELD,
 ) -> Chosen:
     """Chooses endpoints that provably meet the need of a read.
 
@@ -45,6 +50,8 @@
         load: load of an endpoint; the least loaded replica comes first.
         deadline: loop time in seconds.
         primary_reads: whether the primary may serve the read.
+        hold: most reads that wait for a check while the primary is silent;
+            further ones are not run at once.
 
     Returns:
         At least one candidate, best first, or why there is none. Without a
@@ -58,11 +65,10 @@
         need = Need(need.floor, fresh=True)
     term = tracker.record.term
     if need.fresh:
-        match await tracker.check(term, deadline):
-            case Result(tag='ok', ok=mark):
-                need = replace(need, floor=max(need.floor, mark))
-            case _:
-                return Error(_unproved(tracker))
+        mark = await _checked_mark(tracker, deadline, hold)
+        if mark is None:
+            return Error(_unproved(tracker))
+        need = replace(need, floor=max(need.floor, mark))
     patient_until = asyncio.get_running_loop().time() + PATIENCE
     # The mark of a check may be an unacknowledged one, which a later term
     # need not reach.
@@ -75,6 +81,19 @@
     return Error(_unproved(tracker))
 
 
+async def _checked_mark(
+    tracker: Tracker,
+    deadline: float,
+    hold: int,
+) -> Mark | None:
+    """Runs a check unless too many wait for a silent primary already."""
+    record = tracker.record
+    if tracker.silence(record.primary) and tracker.waiting >= hold:
+        return None
+    found = await tracker.check(record.term, deadline)
+    return found.ok if found.is_ok() else None
+
+
 def _worth_waiting(
     tracker: Tracker,
     able: tuple[Candidate, ...],
--- a/packages/cowslipfork/tests/reads/test_choose.py
+++ b/packages/cowslipfork/tests/reads/test_choose.py
@@ -161,3 +161,32 @@
     before = now()
     assert (await waiting).error.reason is Reason.NO_PRIMARY
     assert now() == before
+
+
+@virtual
+async def test_a_bound_of_reads_waits_for_a_silent_primary(group, tracker):
+    group.servers[E1].thawed.clear()
+    await asyncio.sleep(0.4)
+    before = now()
+    reads = [
+        asyncio.create_task(
+            choose(
+                tracker,
+                Need(fresh=True),
+                lambda endpoint: 0,
+                now() + 3,
+                primary_reads=True,
+                hold=5,
+            )
+        )
+        for _ in range(20)
+    ]
+    await asyncio.sleep(0)
+    await asyncio.sleep(0)
+    refused = [read.result().error for read in reads if read.done()]
+    assert [refusal.reason for refusal in refused] == [Reason.NO_PRIMARY] * 15
+    assert all(refusal.retry_after_ms for refusal in refused)
+    group.servers[E1].thawed.set()
+    await asyncio.gather(*reads)
+    assert sum(read.result().is_ok() for read in reads) == 5
+    assert now() - before < 1
