A record that cannot be read, a primary that was removed

Cause: both ended the supervision of a group or left it without a primary for good. An unreadable record now stops promotions like a store that is down; a primary that the configuration no longer names is replaced without evidence. Noted, not built: acceptance should refuse to remove two endpoints of a group at once, as majorities before and after need not meet.

--- a/packages/cowslipfork/src/cowslipfork/groups/promotion.py
+++ b/packages/cowslipfork/src/cowslipfork/groups/promotion.py
@@ -17,7 +17,12 @@
     EndpointStatus,
     TermRefused,
 )
-from cowslipfork.groups.record import ClaimerId, GroupRecord, PublishRefused
+from cowslipfork.groups.record import (
+    ClaimerId,
+    GroupRecord,
+    PublishRefused,
+    RecordInvalid,
+)
 from cowslipfork.groups.record_store import (
     RecordConflict,
     StoredRecord,
@@ -41,6 +46,7 @@
 class ClaimFailure(Enum):
     """Why a claim published no primary."""
 
+    #: The store did not answer, or not with a record.
     STORE_DOWN = 'store_down'
     #: Another claimer holds a later term.
     SUPERSEDED = 'superseded'
@@ -112,7 +118,7 @@
 
 def _failure_of(error: CowslipforkError) -> ClaimFailure | None:
     match error:
-        case StoreDown():
+        case StoreDown() | RecordInvalid():
             return ClaimFailure.STORE_DOWN
         case RecordConflict() | PublishRefused() | TermRefused():
             return ClaimFailure.SUPERSEDED
--- a/packages/cowslipfork/src/cowslipfork/groups/supervision.py
+++ b/packages/cowslipfork/src/cowslipfork/groups/supervision.py
@@ -19,7 +19,7 @@
     ClaimFailure,
     promote_another,
 )
-from cowslipfork.groups.record import GroupRecord
+from cowslipfork.groups.record import GroupRecord, RecordInvalid
 from cowslipfork.groups.record_store import StoredRecord, read_record
 from cowslipfork.groups.suspicion import (
     AskPeers,
@@ -134,6 +134,8 @@
     may_replace_stalled: Callable[[], bool],
 ) -> bool:
     """Makes sure that a trouble needs another primary."""
+    if trouble is Trouble.REMOVED:
+        return True
     if trouble is Trouble.STALLED:
         return may_replace_stalled()
     if trouble is Trouble.LEAVING:
@@ -216,7 +218,11 @@
     claimant = supervision.claimant
     try:
         stored = await read_record(claimant.store, supervision.group)
-    except StoreDown:
+    except (StoreDown, RecordInvalid) as error:
+        log.warning(
+            'record not read',
+            extra={'group': record.group, 'cause': str(error)},
+        )
         await _failed(supervision, ClaimFailure.STORE_DOWN)
         return
     if stored.record.supersedes(record):
--- a/packages/cowslipfork/src/cowslipfork/groups/suspicion.py
+++ b/packages/cowslipfork/src/cowslipfork/groups/suspicion.py
@@ -62,6 +62,8 @@
     #: It takes writes that no replica receives.
     STALLED = 'stalled'
     LEAVING = 'leaving'
+    #: The configuration no longer has it.
+    REMOVED = 'removed'
 
 
 def trouble_of(tracker: Tracker) -> Trouble | None:
@@ -72,6 +74,8 @@
         not heard of yet.
     """
     record = tracker.record
+    if record.primary not in tracker.controls:
+        return Trouble.REMOVED
     if tracker.silence(record.primary):
         return Trouble.SILENT
     status = tracker.current(record.primary)
--- a/packages/cowslipfork/tests/fakes/cluster.py
+++ b/packages/cowslipfork/tests/fakes/cluster.py
@@ -21,6 +21,7 @@
     Evidence,
     GroupRecord,
     Health,
+    RecordInvalid,
     Supervision,
     TermRefused,
     Tracker,
@@ -129,7 +130,7 @@
     died: bool = False
     starts: int = 0
 
-    def start(self):
+    def start(self, without=None):
         self.starts += 1
         self.fatal = Fatal()
         self.health = Health()
@@ -138,6 +139,7 @@
         controls = {
             name: FatalControl(control, self.fatal)
             for name, control in self.raw.items()
+            if name != without
         }
         self.tracker = Tracker(
             first_record(GROUP),
@@ -255,7 +257,7 @@
         """Spreads the newest record that any node holds or holds stored."""
         while True:
             await asyncio.sleep(0.5)
-            with suppress(StoreDown):
+            with suppress(StoreDown, RecordInvalid):
                 stored = (await read_record(self.store, GROUP)).record
                 near = [n for n in self.nodes if n.name not in self.isolated]
                 self._hear(stored, near)
--- a/packages/cowslipfork/tests/groups/test_supervision.py
+++ b/packages/cowslipfork/tests/groups/test_supervision.py
@@ -10,7 +10,10 @@
 from cowslipfork.groups import (
     Condition,
     EndpointRole,
+    encode_record,
+    first_record,
     read_record,
+    record_key,
     write_refusal,
 )
 from cowslipfork.outcomes import Reason
@@ -309,3 +312,25 @@
     # A repeated job writes nothing, and is confirmed.
     found = await tracker.acknowledged(tracker.record.term, now() + 1)
     assert found.ok.term == 2
+
+
+@clustered
+async def test_a_record_that_cannot_be_read_stops_promotions_only(cluster):
+    key = record_key(GROUP.name)
+    cluster.store.put(key, b'\xff')
+    kill(cluster)
+    await asyncio.sleep(3)
+    assert cluster.nodes[0].health.condition is Condition.STORE_DOWN
+    assert all(node.alive for node in cluster.nodes)
+    cluster.store.put(key, encode_record(first_record(GROUP)))
+    assert await cluster.until_serving(term=2) < 3
+
+
+@clustered
+async def test_a_primary_that_was_removed_is_replaced(cluster):
+    node = cluster.nodes[0]
+    node.kill()
+    await asyncio.sleep(0)
+    node.start(without=E1)
+    assert await cluster.until_serving(term=2) < 0.5
+    assert cluster.primary().name != E1
