--- a/packages/cowslipfork/src/cowslipfork/groups/supervision.py
+++ b/packages/cowslipfork/src/cowslipfork/groups/supervision.py
@@ -6,19 +6,20 @@
 import logging
 import math
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field, replace
 
 from expression import Result
 
 from cowslipfork.configuration import Group
 from cowslipfork.groups._followers import mend_followers
 from cowslipfork.groups.condition import Condition, Health
+from cowslipfork.groups.pauses import ClaimPauses
 from cowslipfork.groups.promotion import (
     Claimant,
     ClaimFailure,
     promote_another,
 )
-from cowslipfork.groups.record import GroupRecord
+from cowslipfork.groups.record import GroupRecord, RecordInvalid
 from cowslipfork.groups.record_store import StoredRecord, read_record
 from cowslipfork.groups.suspicion import (
     AskPeers,
@@ -57,6 +58,7 @@
         rank: rank of this node among the group's claimers; 0 claims first.
         begin_term: writes the first entry of a term.
         health: is told how the group fares.
+        pauses: between claims that fail in a row.
     """
 
     group: Group
@@ -66,6 +68,7 @@
     rank: Callable[[], int]
     begin_term: BeginTerm
     health: Health
+    pauses: ClaimPauses = field(default_factory=ClaimPauses)
 
 
 async def supervise(supervision: Supervision) -> None:
@@ -74,6 +77,7 @@
     Args:
         supervision: what to work with.
     """
+    supervision = _adopting(supervision)
     async with asyncio.TaskGroup() as tasks:
         tasks.create_task(supervision.tracker.run())
         tasks.create_task(
@@ -82,6 +86,17 @@
         tasks.create_task(_oversee(supervision))
 
 
+def _adopting(supervision: Supervision) -> Supervision:
+    """Has the own tracker hear of a record before anybody else."""
+    claimant = supervision.claimant
+
+    def announce(record: GroupRecord) -> None:
+        supervision.tracker.adopt(record)
+        claimant.announce(record)
+
+    return replace(supervision, claimant=replace(claimant, announce=announce))
+
+
 async def _oversee(supervision: Supervision) -> None:
     tracker = supervision.tracker
     may_replace_stalled = _paced(STALL_PAUSE)
@@ -92,6 +107,7 @@
             continue
         trouble = trouble_of(tracker)
         if trouble is None:
+            supervision.pauses.reset()
             _become(supervision, Condition.SERVING)
         elif await _needs_replacing(supervision, trouble, may_replace_stalled):
             await _replace_primary(supervision, trouble)
@@ -118,6 +134,8 @@
     may_replace_stalled: Callable[[], bool],
 ) -> bool:
     """Makes sure that a trouble needs another primary."""
+    if trouble is Trouble.REMOVED:
+        return True
     if trouble is Trouble.STALLED:
         return may_replace_stalled()
     if trouble is Trouble.LEAVING:
@@ -200,7 +218,11 @@
     claimant = supervision.claimant
     try:
         stored = await read_record(claimant.store, supervision.group)
-    except StoreDown:
+    except (StoreDown, RecordInvalid) as error:
+        log.warning(
+            'record not read',
+            extra={'group': record.group, 'cause': str(error)},
+        )
         await _failed(supervision, ClaimFailure.STORE_DOWN)
         return
     if stored.record.supersedes(record):
@@ -209,6 +231,7 @@
     _note_claim(supervision)
     match await _promoted(supervision, stored):
         case Result(tag='ok'):
+            supervision.pauses.reset()
             _become(supervision, Condition.SERVING)
         case Result(tag='error', error=failure):
             await _failed(supervision, failure)
@@ -231,8 +254,7 @@
         _become(supervision, Condition.STORE_DOWN)
     elif failure is ClaimFailure.NO_MAJORITY:
         _become(supervision, Condition.NO_MAJORITY)
-    step = supervision.tracker.failover.claim_step
-    await asyncio.sleep(step * (supervision.rank() + 1) / 2)
+    await asyncio.sleep(supervision.pauses.take())
 
 
 def _note_claim(supervision: Supervision) -> None:
--- a/packages/cowslipfork/tests/groups/test_supervision.py
+++ b/packages/cowslipfork/tests/groups/test_supervision.py
@@ -10,7 +10,10 @@
 from cowslipfork.groups import (
     Condition,
     EndpointRole,
+    encode_record,
+    first_record,
     read_record,
+    record_key,
     write_refusal,
 )
 from cowslipfork.outcomes import Reason
@@ -178,6 +181,17 @@
     assert not cluster.lost()
 
 
+@clustered
+async def test_claims_spare_a_store_that_is_down(cluster):
+    cluster.store.fail(Fault.DOWN)
+    kill(cluster)
+    await asyncio.sleep(5)
+    before = cluster.store.calls['get']
+    await asyncio.sleep(60)
+    # The claimers ask about once a second each, gossip twice.
+    assert cluster.store.calls['get'] - before < 60 * (3 + 2)
+
+
 @clustered
 async def test_a_store_that_is_down_harms_nothing_else(cluster):
     cluster.store.fail(Fault.DOWN)
@@ -263,3 +277,60 @@
     await asyncio.sleep(2)
     assert not cluster.lost()
     assert len({node.tracker.record for node in cluster.nodes}) == 1
+
+
+#: Calls of a claim after which its claimer is paused, and what it finds when
+#: it wakes: its swap or its fence is refused.
+@pytest.mark.parametrize('calls', range(1, CLAIM_CALLS + 1))
+@clustered
+async def test_a_paused_claimer_wakes_to_refusals(cluster, calls):
+    paused, other = cluster.nodes[:2]
+    before = paused.fatal.calls
+    kill(cluster)
+    await until(lambda: paused.fatal.calls - before >= calls)
+    paused.fatal.awake.clear()
+    cluster.isolated.add(paused.name)
+    other.rank = 0
+    await cluster.until_serving(term=2)
+    serving_record = (await read_record(cluster.store, GROUP)).record
+    paused.fatal.awake.set()
+    await asyncio.sleep(0.3)
+    cluster.isolated.clear()
+    await asyncio.sleep(2)
+    record = (await read_record(cluster.store, GROUP)).record
+    assert paused.tracker.record == record
+    # It may find its own claim superseded, never undo the other's.
+    assert record.term >= serving_record.term and record.serving
+    assert cluster.primary().name == record.primary
+
+
+@clustered
+async def test_a_term_begins_with_an_entry_of_its_own(cluster):
+    kill(cluster)
+    tracker = cluster.nodes[0].tracker
+    await until(lambda: tracker.record.serving and tracker.record.term == 2)
+    # A repeated job writes nothing, and is confirmed.
+    found = await tracker.acknowledged(tracker.record.term, now() + 1)
+    assert found.ok.term == 2
+
+
+@clustered
+async def test_a_record_that_cannot_be_read_stops_promotions_only(cluster):
+    key = record_key(GROUP.name)
+    cluster.store.put(key, b'\xff')
+    kill(cluster)
+    await asyncio.sleep(3)
+    assert cluster.nodes[0].health.condition is Condition.STORE_DOWN
+    assert all(node.alive for node in cluster.nodes)
+    cluster.store.put(key, encode_record(first_record(GROUP)))
+    assert await cluster.until_serving(term=2) < 3
+
+
+@clustered
+async def test_a_primary_that_was_removed_is_replaced(cluster):
+    node = cluster.nodes[0]
+    node.kill()
+    await asyncio.sleep(0)
+    node.start(without=E1)
+    assert await cluster.until_serving(term=2) < 0.5
+    assert cluster.primary().name != E1
