--- a/Makefile
+++ b/Makefile
@@ -37,6 +37,12 @@
 serve: $(READY)
 	$(BIN)/cowslipfork-lab serve
 
+SEED ?= 1
+
+soak: $(READY)
+	$(BIN)/cowslipfork-lab soak samples/hilal --seed $(SEED)
+	$(BIN)/cowslipfork-lab soak samples/nilebean --seed $(SEED)
+
 generate: $(READY)
 	cd packages/cowslipfork/src && PATH=$(abspath $(BIN)):$$PATH python -m grpc_tools.protoc -I . \
 	  --python_out=. --grpc_python_out=. --mypy_out=. cowslipfork/wire/*.proto
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/cli.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/cli.py
@@ -17,7 +17,7 @@
 from cowslipfork.errors import CowslipforkError
 from cowslipfork_lab.demo import run_demo
 from cowslipfork_lab.endpoint import EndpointSettings, run_endpoint
-from cowslipfork_lab.load.command import run_load
+from cowslipfork_lab.load.command import run_load, run_soak
 from cowslipfork_lab.relay import run_relay
 from cowslipfork_lab.store import run_store
 
@@ -82,6 +82,7 @@
 
 
 app.command('load')(run_load)
+app.command('soak')(run_soak)
 
 
 @app.command()
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/load/experiment.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/load/experiment.py
@@ -25,9 +25,10 @@
     write_history,
 )
 from cowslipfork_lab.load import measure, schema
-from cowslipfork_lab.load.faults import fault_named, primary_of
-from cowslipfork_lab.load.mix import Share, job_group, mix_of
+from cowslipfork_lab.load.faults import primary_of
+from cowslipfork_lab.load.mix import Share, mix_of
 from cowslipfork_lab.load.runner import Baseline, Load, LoadSettings
+from cowslipfork_lab.load.schedule import ScheduledFault, bring
 
 _SETUP_TRIES = 150
 _SETUP_SECONDS = 10.0
@@ -41,14 +42,12 @@
     Attributes:
         load: size of the load.
         baseline: what callers are connected to.
-        fault: name of the fault; empty for none.
-        fault_at: seconds after the start of the load.
+        faults: faults with their times.
     """
 
     load: LoadSettings
     baseline: Baseline = Baseline.PROXY
-    fault: str = ''
-    fault_at: float = 0
+    faults: Sequence[ScheduledFault] = ()
 
 
 class GroupNotServed(CowslipforkError):
@@ -114,9 +113,12 @@
         """
         for group in self._groups:
             await self._set_up(group)
-        fault = asyncio.create_task(self._bring_fault())
+        faults = [
+            asyncio.create_task(bring(self._cluster, fault))
+            for fault in self._settings.faults
+        ]
         await self._load.run()
-        struck = await fault
+        struck = await asyncio.gather(*faults)
         write_history(self._directory / 'history.jsonl', self._load.attempts)
         document = await self._report(struck)
         violations = await self._check()
@@ -174,17 +176,6 @@
             connection.close()
         return None
 
-    async def _bring_fault(self) -> measure.Fault | None:
-        settings = self._settings
-        if not settings.fault:
-            return None
-        bring = fault_named(settings.fault)
-        await asyncio.sleep(settings.fault_at)
-        group = job_group(self._mix)
-        struck = asyncio.get_running_loop().time()
-        await bring(self._cluster, group)
-        return measure.Fault(settings.fault, group, struck)
-
     async def _check(self) -> list[Violation]:
         attempts = self._load.attempts
         jobs = await self._job_counts()
@@ -235,7 +226,7 @@
             for name, kind in configuration.kinds.items()
         }
 
-    async def _report(self, fault: measure.Fault | None) -> dict[str, Any]:
+    async def _report(self, faults: Sequence[measure.Fault]) -> dict[str, Any]:
         finals = self._load.finals
         kinds = measure.figures_by_kind(finals)
         endpoints = await self._counts()
@@ -244,7 +235,7 @@
             'settings': {
                 **asdict(self._settings.load),
                 'baseline': self._settings.baseline.value,
-                'fault': self._settings.fault,
+                'faults': [fault.name for fault in faults],
                 'nodes': len(self._cluster.nodes),
             },
             'requests': len(finals),
@@ -254,9 +245,9 @@
                 self._weights(),
             ),
             'replica_read_share': measure.replica_share(endpoints.values()),
-            'failover_gap_seconds': (
-                measure.failover_gap(finals, fault) if fault else None
-            ),
+            'failover_gap_seconds': [
+                measure.failover_gap(finals, fault) for fault in faults
+            ],
             'kinds': measure.as_document(kinds),
             'endpoints': endpoints,
         }
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/load/text.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/load/text.py
@@ -26,9 +26,10 @@
         'goodput_per_second',
         'weighted_availability',
         'replica_read_share',
-        'failover_gap_seconds',
     ):
         yield f'{name}: {_rounded(document[name])}'
+    gaps = ', '.join(map(_rounded, document['failover_gap_seconds']))
+    yield f'failover_gap_seconds: {gaps or "-"}'
     yield f'violations: {len(document["violations"])}'
     yield from document['violations'][:10]
     yield (
--- a/packages/cowslipfork-lab/tests/load/test_load.py
+++ b/packages/cowslipfork-lab/tests/load/test_load.py
@@ -27,6 +27,12 @@
     weighted_availability,
 )
 from cowslipfork_lab.load.mix import UnknownMix, mix_of
+from cowslipfork_lab.load.schedule import (
+    CALM_SECONDS,
+    BadFault,
+    random_faults,
+    read_fault,
+)
 
 SAMPLES = Path(__file__).parents[4] / 'samples'
 
@@ -90,6 +96,29 @@
     assert retry_after('Too many connections') is None
 
 
+def test_random_faults_repeat_and_leave_a_calm_end():
+    faults = random_faults(7, 60, ['a', 'b'], nodes=3)
+    assert faults == random_faults(7, 60, ['a', 'b'], nodes=3)
+    assert faults != random_faults(8, 60, ['a', 'b'], nodes=3)
+    assert max(one.at + one.seconds for one in faults) <= 60 - CALM_SECONDS
+    assert min(one.at for one in faults) >= CALM_SECONDS
+
+
+@pytest.mark.parametrize(
+    ('text', 'at', 'seconds'),
+    [('kill-primary@4', 4, None), ('freeze-node@1.5+2.5', 1.5, 2.5)],
+)
+def test_faults_are_read_from_the_command_line(text, at, seconds):
+    fault = read_fault(text, 'g')
+    assert (fault.at, fault.seconds) == (at, seconds)
+
+
+@pytest.mark.parametrize('text', ['kill-primary', 'kill-primary@x', '@4'])
+def test_faults_written_otherwise_are_refused(text):
+    with pytest.raises(BadFault):
+        read_fault(text, 'g')
+
+
 def test_availability_is_weighted_by_class():
     kinds = figures_by_kind(
         [
