--- a/packages/cowslipfork-lab/src/cowslipfork_lab/cluster/cluster.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/cluster/cluster.py
@@ -194,7 +194,7 @@
             await self._relay.rule(ANY, ANY, Rule(seconds))
 
     async def set_fault(self, name: str, fault: str, setting: object) -> None:
-        """Sets a fault of an endpoint or of the store.
+        """Sets a fault of an endpoint or of the store, unless it has ended.
 
         Args:
             name: endpoint, or ``STORE``.
@@ -202,6 +202,8 @@
             setting: new value.
         """
         port = self._control_ports[name]
+        if not self.running(name):
+            return
         if name == STORE:
             await controls.set_store_fault(port, fault, setting)
         else:
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/cluster/controls.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/cluster/controls.py
@@ -9,6 +9,7 @@
 
 import aetcd
 import asyncmy
+from asyncmy.errors import OperationalError
 
 from cowslipfork.groups import EndpointRole, EndpointStatus
 from cowslipfork.ids import Mark, Position, Term
@@ -18,6 +19,8 @@
 
 #: Bound of a question to an endpoint, in seconds.
 ANSWER_SECONDS = 10.0
+_RETRY_SECONDS = 0.1
+_UNREACHABLE = 2003
 _STATUS_COLUMNS = (
     'endpoint',
     'role',
@@ -42,12 +45,7 @@
         TimeoutError: no answer.
     """
     async with asyncio.timeout(ANSWER_SECONDS):
-        connection = await asyncmy.connect(
-            host=LOOPBACK,
-            port=port,
-            user='lab',
-            autocommit=True,
-        )
+        connection = await _connect(port)
         try:
             async with connection.cursor() as cursor:
                 await cursor.execute(sql)
@@ -56,6 +54,22 @@
             connection.close()
 
 
+async def _connect(port: int) -> Any:
+    """Connects, also to a process that is just starting."""
+    while True:
+        try:
+            return await asyncmy.connect(
+                host=LOOPBACK,
+                port=port,
+                user='lab',
+                autocommit=True,
+            )
+        except OperationalError as error:
+            if error.args[0] != _UNREACHABLE:
+                raise
+            await asyncio.sleep(_RETRY_SECONDS)
+
+
 async def set_endpoint_fault(port: int, name: str, setting: object) -> None:
     """Sets a variable of an endpoint's control port.
 
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/endpoint/connection.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/endpoint/connection.py
@@ -19,6 +19,10 @@
     """The endpoint has no connection to spare."""
 
 
+class ClientGone(ConnectionError):
+    """The client closed its connection before it was let in."""
+
+
 class EndpointConnection(Connection):
     """Adds affected rows, transaction flags, limits and faults."""
 
@@ -49,10 +53,13 @@
             kwargs: for the library.
 
         Raises:
+            ClientGone: the client closed while a fault held its login.
             ConnectionRefused: all connections are in use.
         """
         self._peer = username == REPLICATION_USER
         await self._pass()
+        if self.stream.reader.at_eof():
+            raise ClientGone
         if not self._peer and not self._counted:
             await self._count()
         await super().authenticate(username=username, **kwargs)
--- a/packages/cowslipfork-lab/tests/endpoint/test_endpoint.py
+++ b/packages/cowslipfork-lab/tests/endpoint/test_endpoint.py
@@ -13,6 +13,7 @@
 from asyncmy.errors import MySQLError
 
 from cowslipfork_lab.endpoint import EndpointServer, EndpointSettings
+from cowslipfork_lab.endpoint.faults import Partition
 
 TABLE = (
     'CREATE TABLE job (id BIGINT NOT NULL AUTO_INCREMENT PRIMARY KEY, '
@@ -295,6 +296,25 @@
         waiting.cancel()
 
 
+def connect_in_vain(port):
+    with pytest.raises(pymysql.OperationalError):
+        pymysql.connect(host='127.0.0.1', port=port, read_timeout=0.1)
+
+
+async def test_clients_that_left_during_a_cut_are_not_counted_after_it():
+    async with endpoint(primary='self') as server:
+        faults = server.state.faults
+        faults.cut(Partition.CALLERS)
+        vain = (
+            asyncio.to_thread(connect_in_vain, server.port) for _ in range(3)
+        )
+        await asyncio.gather(*vain)
+        faults.cut(Partition.NONE)
+        async with client(server) as one:
+            assert await run(one, 'SELECT 1') == ((1,),)
+        assert server.state.counters.connections_maximum == 1
+
+
 async def test_statement_reaching_a_frozen_primary_runs_after_it_wakes():
     async with (
         endpoint(primary='self') as server,
