A node notices its majority also when the platform's list comes last

Cause: the change of 'in touch' was taken within one tick, after the list had been taken in; when the list arrived last, both readings were true, nobody was told, and groups stayed without a carrier. Ruled out: rendezvous disagreement (no node logged a carried group). Now the last told state is kept.

--- a/packages/cowslipfork/src/cowslipfork/membership/fleet.py
+++ b/packages/cowslipfork/src/cowslipfork/membership/fleet.py
@@ -59,6 +59,7 @@
         self._told = 0
         self._planned = -1
         self._list_changed = False
+        self._touched = False
         self._touch_watchers: list[Callable[[], None]] = []
         members.watch(self._on_member)
         holdings.watch(self._on_record)
@@ -165,12 +166,13 @@
             self._list_changed = False
             listed = listed_vms(self._holdings, self._region_of)
             self._members.list_vms(listed, now)
-        touched = self._members.in_touch(now)
         if self._members.tick(now):
             _logger.warning('event=woke_late')
             await self._links.reopen()
-        if self._members.in_touch(now) is not touched:
-            self._note_touch(in_touch=not touched)
+        touched = self._members.in_touch(now)
+        if touched is not self._touched:
+            self._touched = touched
+            self._note_touch(in_touch=touched)
         self._members.refresh(self.store_age(now))
         await self._links.close_extra(now)
         if self._planned != self._members.changes.last:
