A cancellation lost in the driver no longer keeps a claim for ever

Cause: a claim fences all endpoints and cancels the fences left over once a majority has answered. The fence of a dead primary meets a refused connection at that moment; asyncio.wait_for inside the driver then drops the cancellation, the fence repeats for ever, and the claim waits for it: the group stayed claimed (term 2 never published, 8 s until the node was stopped). Ruled out: the store (it had answered), time-outs of group statements (all bounded). A cancellation that is pending when the driver fails is raised again.

--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/endpoints/connection.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/endpoints/connection.py
@@ -239,6 +239,7 @@
                 yield
             whole = True
         except driver_errors.MySQLError as error:
+            _raise_if_cancelled()
             errno, text = _error_packet(error)
             whole = _from_endpoint(errno)
             if whole:
@@ -287,6 +288,7 @@
                 autocommit=None,
             )
     except driver_errors.MySQLError as error:
+        _raise_if_cancelled()
         errno, text = _error_packet(error)
         if _from_endpoint(errno):
             raise EndpointRefused(endpoint.name, errno, text) from error
@@ -303,6 +305,21 @@
     return EndpointConnection(endpoint.name, raw)
 
 
+def _raise_if_cancelled() -> None:
+    """Restores a cancellation that was lost in the driver.
+
+    The driver connects under ``asyncio.wait_for``, which drops a cancellation
+    that comes together with a refusal; a task that repeats its connects would
+    then go on for ever.
+
+    Raises:
+        CancelledError: the task is being cancelled.
+    """
+    task = asyncio.current_task()
+    if task is not None and task.cancelling():
+        raise asyncio.CancelledError
+
+
 def _from_endpoint(errno: int) -> bool:
     """Tells an error packet from a failure of the driver."""
     client_side = _FIRST_CLIENT_ERROR <= errno <= _LAST_CLIENT_ERROR
