--- a/packages/cowslipfork-lab/src/cowslipfork_lab/load/experiment.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/load/experiment.py
@@ -43,11 +43,13 @@
         load: size of the load.
         baseline: what callers are connected to.
         faults: faults with their times.
+        service_ms: time that each statement holds its slot.
     """
 
     load: LoadSettings
     baseline: Baseline = Baseline.PROXY
     faults: Sequence[ScheduledFault] = ()
+    service_ms: float = 0
 
 
 class GroupNotServed(CowslipforkError):
@@ -113,6 +115,7 @@
         """
         for group in self._groups:
             await self._set_up(group)
+        await self._slow_down()
         faults = [
             asyncio.create_task(bring(self._cluster, fault))
             for fault in self._settings.faults
@@ -127,6 +130,15 @@
         (self._directory / 'report.json').write_text(report)
         return Result(document, violations)
 
+    async def _slow_down(self) -> None:
+        if self._settings.service_ms:
+            for name, _, _ in self._cluster.endpoint_ports():
+                await self._cluster.set_fault(
+                    name,
+                    'lab_service_ms',
+                    self._settings.service_ms,
+                )
+
     def _ports(self, group: GroupName) -> Sequence[int]:
         if self._settings.baseline == Baseline.PROXY:
             return self._cluster.caller_ports
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/load/faults.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/load/faults.py
@@ -8,7 +8,8 @@
 
 from cowslipfork.errors import CowslipforkError
 from cowslipfork.groups import EndpointRole, EndpointStatus
-from cowslipfork.ids import EndpointId, GroupName
+from cowslipfork.ids import EndpointId, GroupName, RegionName
+from cowslipfork.membership import Place, carrier_of
 from cowslipfork_lab.cluster.cluster import STORE, Cluster
 
 _LONG_LAG_MS = 3_600_000
@@ -123,6 +124,16 @@
     return lambda: cluster.restart(vm)
 
 
+async def _kill_carrier(cluster: Cluster, target: Target) -> Undo:
+    region = RegionName(cluster.plan.site)
+    places = [
+        Place(node.vm, node.failure_domain, region) for node in cluster.nodes
+    ]
+    vm = carrier_of(target.group, places, region) or cluster.nodes[0].vm
+    await cluster.kill(vm)
+    return lambda: cluster.restart(vm)
+
+
 async def _stop_node(cluster: Cluster, target: Target) -> Undo:
     vm = cluster.nodes[target.node].vm
     await cluster.terminate(vm)
@@ -156,6 +167,7 @@
         'silence-primary': _silence_primary,
         'lag-replicas': _on_replicas('lab_lag_ms', _LONG_LAG_MS, 0),
         'kill-node': _kill_node,
+        'kill-carrier': _kill_carrier,
         'stop-node': _stop_node,
         'freeze-node': _freeze_node,
         'store-down': _on_store('outage', 'refuse', ''),
