Callers: time limits for login and for unread rows, TCP keep-alive

Cause: a caller that never logs in kept a place among limits.callers, one that stopped reading held a slot of its endpoint, and one whose path went silent stayed for good. Weighed for unread rows: buffering the rest (no bound). Tests use patched limits and wait for the end of the stream, not for a time.

--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/callers/connection.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/callers/connection.py
@@ -30,6 +30,11 @@
 
 _log = logging.getLogger(__name__)
 
+#: Seconds in which a caller has to log in.
+LOGIN_TIMEOUT = 10.0
+
+_LOGIN_FAILURES = (TimeoutError, *MALFORMED)
+
 #: Seconds in which a dismissed caller may read why.
 LINGER = 1.0
 
@@ -178,8 +183,9 @@
 
     async def _login(self) -> None:
         try:
-            await self.connection_phase()
-        except MALFORMED as error:
+            async with asyncio.timeout(LOGIN_TIMEOUT):
+                await self.connection_phase()
+        except _LOGIN_FAILURES as error:
             text = f'bad handshake: {type(error).__name__}'
             raise fault(Fault.BAD_HANDSHAKE, text) from error
         self._logging_in = False
--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/callers/results.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/callers/results.py
@@ -25,6 +25,9 @@
     Awaitable[None],
 ]
 
+#: Seconds that a caller may leave a batch of rows unread.
+WRITE_TIMEOUT = 30.0
+
 #: Cells are text already, whatever the column's type.
 _TEXT_CELL = ResultColumn('', ColumnType.VARCHAR)
 
@@ -76,12 +79,13 @@
     """Waits for a slow reader between batches.
 
     The last batch stays in the buffer, to be sent with what follows it: a
-    short answer is one write.
+    short answer is one write. A reader that has stopped is cut off, as its
+    rows hold a slot of their endpoint.
     """
     buffered = False
     async for batch in batches:
         if buffered:
-            await stream.drain()
+            await stream.drain_within(WRITE_TIMEOUT)
         yield batch
         buffered = True
 
--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/callers/server.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/callers/server.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import logging
+import socket
 from collections.abc import Callable
 from dataclasses import dataclass
 from itertools import count
@@ -30,6 +31,13 @@
 _CONNECTION_IDS = 2**32 - 1
 _BACKLOG = 1024
 
+#: Seconds of silence, seconds between probes, probes until a caller is gone.
+_KEEP_ALIVE = (
+    (socket.TCP_KEEPIDLE, 60),
+    (socket.TCP_KEEPINTVL, 10),
+    (socket.TCP_KEEPCNT, 3),
+)
+
 
 @dataclass(frozen=True, slots=True)
 class CallerSettings:
@@ -152,6 +160,7 @@
         task = asyncio.current_task()
         if task is None or not isinstance(reader, CallerReader):
             return
+        _keep_alive(writer)
         connection = self._connection(reader, writer)
         with contextlib.closing(writer):
             if self.callers >= self._configuration().limits.callers:
@@ -195,6 +204,14 @@
         return connection
 
 
+def _keep_alive(writer: asyncio.StreamWriter) -> None:
+    """Finds callers that are gone although nothing closed their connection."""
+    accepted = writer.get_extra_info('socket')
+    accepted.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option, setting in _KEEP_ALIVE:
+        accepted.setsockopt(socket.IPPROTO_TCP, option, setting)
+
+
 def _fields(connection: CallerConnection) -> dict[str, object]:
     return {
         'caller': connection.connection_id,
--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/callers/stream.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/callers/stream.py
@@ -146,6 +146,22 @@
         if self._writer.can_write_eof():
             self._writer.write_eof()
 
+    async def drain_within(self, seconds: float) -> None:
+        """Waits until the caller has read most of what was written.
+
+        Args:
+            seconds: longest wait.
+
+        Raises:
+            ConnectionClosed: it took longer; the connection was aborted.
+        """
+        try:
+            async with asyncio.timeout(seconds):
+                await self.drain()
+        except TimeoutError as error:
+            self._writer.transport.abort()
+            raise ConnectionClosed from error
+
     async def read(self) -> bytes:
         """Reads one packet.
 
--- a/packages/cowslipfork-proxy/tests/callers/test_login.py
+++ b/packages/cowslipfork-proxy/tests/callers/test_login.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import asyncio
 from dataclasses import replace
 
 import pymysql
@@ -7,6 +8,7 @@
 
 from cowslipfork.ids import TeamName
 from cowslipfork.requests import Operation
+from cowslipfork_proxy.callers import connection
 
 from .by_hand import talk_to
 from .drivers import asyncmy_connection, with_connector, with_pymysql
@@ -48,6 +50,13 @@
     writer.close()
 
 
+async def test_a_caller_that_does_not_log_in_is_cut_off(server, monkeypatch):
+    monkeypatch.setattr(connection, 'LOGIN_TIMEOUT', 0.01)
+    reader, writer = await asyncio.open_connection('127.0.0.1', server.port)
+    assert b'bad handshake: TimeoutError' in await reader.read()
+    writer.close()
+
+
 async def test_connector_hears_that_it_is_denied(server):
     with pytest.raises(Exception, match='Access denied'):
         await with_connector(server, ask, password='wrong')
