--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/callers/local_answers.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/callers/local_answers.py
@@ -34,7 +34,7 @@
     re.IGNORECASE | re.VERBOSE | re.DOTALL,
 )
 _LIKE = re.compile(
-    rf'(?:like|=)\s*(?P<pattern>{STRING})',
+    rf'\blike\s*(?P<pattern>{STRING})',
     re.IGNORECASE | re.DOTALL,
 )
 _QUOTES = '`"\''
--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/callers/session.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/callers/session.py
@@ -9,7 +9,7 @@
 
 from cowslipfork.configuration import Configuration
 from cowslipfork.ids import TeamName
-from cowslipfork.outcomes import Done, NotRun, Outcome, Reason
+from cowslipfork.outcomes import Done, NotRun, Outcome, Reason, Unknown
 from cowslipfork.requests import (
     NO_ATTRIBUTES,
     Answer,
@@ -236,7 +236,9 @@
             await self._release()
         self._transaction.begin()
         outcome = await self._ask(sql, Operation.BEGIN, attributes)
-        if not isinstance(outcome, Done):
+        if isinstance(outcome, Unknown):
+            await self._release()
+        elif not isinstance(outcome, Done):
             self._transaction.end()
         return outcome
 
--- a/packages/cowslipfork-proxy/tests/callers/test_variables.py
+++ b/packages/cowslipfork-proxy/tests/callers/test_variables.py
@@ -41,6 +41,12 @@
     assert not run.requests
 
 
+async def test_show_variables_where_gives_at_least_those(server):
+    sql = "SHOW VARIABLES WHERE Variable_name = 'a' OR Variable_name = 'b'"
+    found = await with_pymysql(server, lambda opened: rows(opened, sql))
+    assert ('autocommit', 'ON') in found
+
+
 SETTINGS = (
     "SET sql_mode = 'STRICT_TRANS_TABLES'",
     'SET NAMES utf8mb3',
