Node: certificate for callers from its settings, read again at SIGHUP

Cause: tls_certificate and tls_key stood in the settings and reached nobody. Weighed: polling the files as for the gRPC port; a signal is the usual way for a MySQL server's certificate and tells the operator at once. Test: a new certificate is shown after SIGHUP, and kept when the file is gone.

--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/node.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/node.py
@@ -46,7 +46,8 @@
 from cowslipfork_proxy.admission import admitting
 from cowslipfork_proxy.callers import (
     CallerServer,
-    CallerSettings,
+    caller_settings,
+    reload_on_hangup,
     serve_callers,
 )
 from cowslipfork_proxy.carrier import Carriers, CarryingParts, carry
@@ -160,11 +161,12 @@
     async def _meet_callers(self, stack: AsyncExitStack) -> CallerServer:
         metrics.gauge(self._meter, 'configuration_revision', self._revision)
         callers = await serve_callers(
-            CallerSettings(self._settings.host, self._settings.caller_port),
+            caller_settings(self._settings),
             admitting(self._router.run, TeamLimits(), self._configuration),
             self._configuration,
         )
         stack.push_async_callback(callers.close)
+        reload_on_hangup(callers)
         log.info('node started', extra={'port': callers.port})
         return callers
 
--- a/packages/cowslipfork-proxy/tests/callers/test_tls.py
+++ b/packages/cowslipfork-proxy/tests/callers/test_tls.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import signal
 import ssl
 import struct
 import subprocess
@@ -13,6 +14,7 @@
 from cowslipfork_proxy.callers import (
     CallerSettings,
     CertificateUnusable,
+    reload_on_hangup,
     serve_callers,
 )
 
@@ -99,6 +101,20 @@
     assert kept == second
 
 
+async def test_a_hangup_signal_reads_the_certificate_again(secured, tmp_path):
+    reload_on_hangup(secured)
+    first = await with_pymysql(secured, peer, ssl={'verify_mode': 'none'})
+    make_certificate(tmp_path, 'second')
+    signal.raise_signal(signal.SIGHUP)
+    await asyncio.sleep(0)
+    second = await with_pymysql(secured, peer, ssl={'verify_mode': 'none'})
+    assert second != first
+    (tmp_path / CERTIFICATE).unlink()
+    signal.raise_signal(signal.SIGHUP)
+    kept = await with_pymysql(secured, peer, ssl={'verify_mode': 'none'})
+    assert kept == second
+
+
 async def test_a_caller_without_tls_is_served(secured):
     def ask(connection):
         with connection.cursor() as cursor:
