Nodes are told that they are in touch also when the list comes late

Cause: since a node needs the platform's list to be in touch, the list could make it so between the two looks of one tick, and nobody was told: groups were carried by nobody (the demo failed at its first step). The fleet now keeps what it told last.

--- a/packages/cowslipfork/src/cowslipfork/membership/fleet.py
+++ b/packages/cowslipfork/src/cowslipfork/membership/fleet.py
@@ -59,6 +59,7 @@
         self._told = 0
         self._planned = -1
         self._list_changed = False
+        self._touched = False
         self._touch_watchers: list[Callable[[], None]] = []
         members.watch(self._on_member)
         holdings.watch(self._on_record)
@@ -165,12 +166,12 @@
             self._list_changed = False
             listed = listed_vms(self._holdings, self._region_of)
             self._members.list_vms(listed, now)
-        touched = self._members.in_touch(now)
         if self._members.tick(now):
             _logger.warning('event=woke_late')
             await self._links.reopen()
-        if self._members.in_touch(now) is not touched:
-            self._note_touch(in_touch=not touched)
+        in_touch = self._members.in_touch(now)
+        if in_touch is not self._touched:
+            self._note_touch(in_touch=in_touch)
         self._members.refresh(self.store_age(now))
         await self._links.close_extra(now)
         if self._planned != self._members.changes.last:
@@ -178,6 +179,7 @@
             self._plan(now)
 
     def _note_touch(self, *, in_touch: bool) -> None:
+        self._touched = in_touch
         _logger.info('event=in_touch value=%s', in_touch)
         for watcher in self._touch_watchers:
             watcher()
--- a/packages/cowslipfork/tests/membership/test_fleet.py
+++ b/packages/cowslipfork/tests/membership/test_fleet.py
@@ -95,6 +95,27 @@
     await world.stop()
 
 
+@scenario
+async def test_node_is_told_when_it_gains_and_loses_its_majority():
+    world = FakeWorld()
+    world.store.fail(Fault.DOWN)
+    for number in range(3):
+        world.start(f'vm{number}')
+    told = []
+    node = world.nodes['vm0']
+    now = asyncio.get_running_loop().time
+    node.fleet.watch_touch(lambda: told.append(node.members.in_touch(now())))
+    await until(world.all_live, 5)
+    await asyncio.sleep(2)
+    assert not told
+    world.store.heal()
+    await until(world.all_in_touch, 10)
+    await asyncio.sleep(1)
+    world.part(['vm0'], ['vm1', 'vm2'])
+    await until(lambda: told == [True, False], 5)
+    await world.stop()
+
+
 @scenario
 async def test_ten_minutes_without_store():
     world = await five_nodes()
