--- a/packages/cowslipfork-lab/src/cowslipfork_lab/demo/changes.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/demo/changes.py
@@ -92,6 +92,24 @@
     )
 
 
+async def status_at(cluster: Cluster, index: int) -> admin_pb2.StatusReply:
+    """Asks a node for its status.
+
+    Args:
+        cluster: whose node.
+        index: number of the node.
+
+    Returns:
+        Its answer.
+    """
+    async with _channel(cluster, index) as channel:
+        admin: Any = admin_pb2_grpc.AdminStub(channel)
+        return await admin.Status(
+            admin_pb2.StatusRequest(),
+            metadata=_CREDENTIAL,
+        )
+
+
 async def _in_force(cluster: Cluster, index: int, revision: int) -> int:
     async with _channel(cluster, index) as channel:
         admin: Any = admin_pb2_grpc.AdminStub(channel)
--- a/packages/cowslipfork/src/cowslipfork/membership/fleet.py
+++ b/packages/cowslipfork/src/cowslipfork/membership/fleet.py
@@ -9,7 +9,7 @@
 from dataclasses import replace
 
 from cowslipfork.ids import Revision, VmId
-from cowslipfork.membership.link import HEARTBEAT, JITTER
+from cowslipfork.membership.link import HEARTBEAT, JITTER, SPACING
 from cowslipfork.membership.links import Links
 from cowslipfork.membership.listing import RegionOf, listed_vms
 from cowslipfork.membership.member import Member, MemberState, Report
@@ -24,6 +24,9 @@
 #: Seconds for which the store's last answer proves that a node is current.
 STORE_FRESH = 5.0
 
+#: Seconds in which a node that ends tells its neighbours that it leaves.
+FAREWELL = 3 * SPACING
+
 _logger = logging.getLogger(__name__)
 
 
@@ -143,7 +146,7 @@
                 await self._tick_for_ever()
             finally:
                 self._set_relaying(chosen=False)
-                await self._links.stop()
+                await self._end()
 
     async def serve(self, stream: PeerStream) -> None:
         """Holds a link that a neighbour has opened, until it ends.
@@ -153,6 +156,14 @@
         """
         await self._links.hold(stream)
 
+    async def _end(self) -> None:
+        # A node with nothing in flight ends at once; its neighbours must
+        # have heard that it leaves before its streams break.
+        if self._members.own.state is MemberState.LEAVING:
+            self._links.wake()
+            await asyncio.sleep(FAREWELL)
+        await self._links.stop()
+
     async def _tick_for_ever(self) -> None:
         clock = asyncio.get_running_loop().time
         while True:
--- a/packages/cowslipfork/tests/membership/test_fleet.py
+++ b/packages/cowslipfork/tests/membership/test_fleet.py
@@ -60,6 +60,17 @@
     await world.stop()
 
 
+@scenario
+async def test_node_that_ends_at_once_is_still_seen_leaving():
+    world = await five_nodes()
+    await asyncio.sleep(1)
+    node = world.nodes['vm1']
+    node.fleet.leave()
+    node.task.cancel()
+    await until(lambda: world.seen_as('vm1') == {MemberState.LEAVING}, 0.2)
+    await world.stop()
+
+
 @scenario
 async def test_silent_node_is_gone_only_after_two_others_miss_it():
     world = await five_nodes()
