A leaving node gives its groups up before it ends

Cause: watchers of the members did not hear of the node's own state, so its list still called itself live: it did not retire its groups when it began to drain, and the next carrier waited until the process had ended. Found while writing the test of what nodes are fed, which now asks for it (failed before).

--- a/packages/cowslipfork-proxy/tests/peers/test_feeding.py
+++ b/packages/cowslipfork-proxy/tests/peers/test_feeding.py
@@ -69,3 +69,5 @@
     gone = replace(members.all[VmId('c')].report, state=MemberState.GONE)
     members.observe(gone, 0)
     assert set(holdings.neighbours) == {'a', 'b'}
+    members.update(replace(members.own, state=MemberState.LEAVING))
+    assert holdings.neighbours[VmId('a')].leaving
--- a/packages/cowslipfork/src/cowslipfork/membership/members.py
+++ b/packages/cowslipfork/src/cowslipfork/membership/members.py
@@ -81,7 +81,7 @@
         return self._members
 
     def watch(self, watcher: Watcher) -> None:
-        """Calls back at each change of a member.
+        """Calls back at each change of a member, or of the own state.
 
         Args:
             watcher: gets the member before, None if new, and after.
@@ -125,13 +125,16 @@
             own: report with changed fields; incarnation and beat are kept,
                 and ``LEAVING`` is never taken back.
         """
-        leaving = self._own.state is not MemberState.LIVE
+        before = self._own
+        leaving = before.state is not MemberState.LIVE
         self._own = replace(
             own,
-            incarnation=self._own.incarnation,
-            beat=self._own.beat + 1,
-            state=self._own.state if leaving else own.state,
+            incarnation=before.incarnation,
+            beat=before.beat + 1,
+            state=before.state if leaving else own.state,
         )
+        if self._own.state is not before.state:
+            self._tell_watchers(Member(before), Member(self._own))
 
     def refresh(self, store_age: float | None) -> None:
         """Renews how old the node's knowledge of the store is.
@@ -356,10 +359,13 @@
         if before is None or _worth_telling(before, after):
             self._changes.note(vm)
         if before is None or before != after:
-            for watcher in self._watchers:
-                watcher(before, after)
+            self._tell_watchers(before, after)
         return after
 
+    def _tell_watchers(self, before: Member | None, after: Member) -> None:
+        for watcher in self._watchers:
+            watcher(before, after)
+
 
 def _forgettable(member: Member, now: float) -> bool:
     return (
