--- /dev/null
+++ b/packages/cowslipfork/src/cowslipfork/groups/_sampling.py
@@ -0,0 +1,111 @@
+"""Tasks that ask endpoints for their status, faster while somebody waits."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Iterator, Mapping
+from contextlib import contextmanager
+from dataclasses import dataclass
+
+from cowslipfork.configuration import Failover
+from cowslipfork.groups.check import Sample
+from cowslipfork.groups.port import EndpointControl, EndpointSilent
+from cowslipfork.ids import EndpointId
+
+#: Seconds between begins of an endpoint's samples while somebody waits.
+PACE = 0.005
+
+
+@dataclass(frozen=True, slots=True)
+class Listener:
+    """Who hears of samples.
+
+    Attributes:
+        ordinal: draws the ordinal of a sample that begins.
+        observe: called with each answer.
+        missed: called with the begin of a sample that got none.
+    """
+
+    ordinal: Callable[[], int]
+    observe: Callable[[EndpointId, Sample], None]
+    missed: Callable[[EndpointId, float], None]
+
+
+class Sampling:
+    """Samples every endpoint; at ``PACE`` while there is demand."""
+
+    def __init__(
+        self,
+        controls: Mapping[EndpointId, EndpointControl],
+        failover: Failover,
+        now: Callable[[], float],
+    ) -> None:
+        """Samples nothing until ``run``.
+
+        Args:
+            controls: all endpoints of the group.
+            failover: times of the sampling.
+            now: the loop's clock in seconds.
+        """
+        self._controls = controls
+        self._failover = failover
+        self._now = now
+        self._waiting = 0
+        self._wanted = asyncio.Event()
+
+    @property
+    def waiting(self) -> int:
+        """Number of waiters."""
+        return self._waiting
+
+    @contextmanager
+    def demand(self) -> Iterator[None]:
+        """Keeps the sampling fast for one waiter."""
+        self._waiting += 1
+        self._wanted.set()
+        try:
+            yield
+        finally:
+            self._waiting -= 1
+            if not self._waiting:
+                self._wanted.clear()
+
+    async def run(self, listener: Listener) -> None:
+        """Samples every endpoint until cancelled.
+
+        Args:
+            listener: who hears of the samples.
+        """
+        async with asyncio.TaskGroup() as group:
+            for endpoint in self._controls:
+                group.create_task(self._sample(endpoint, listener))
+
+    async def _sample(self, endpoint: EndpointId, listener: Listener) -> None:
+        control = self._controls[endpoint]
+        while True:
+            ordinal = listener.ordinal()
+            begun = self._now()
+            try:
+                status = await control.status(
+                    self._failover.probe_timeout,
+                    fresh=False,
+                )
+            except EndpointSilent:
+                listener.missed(endpoint, begun)
+                await self._until(begun + self._failover.probe_interval)
+            else:
+                listener.observe(endpoint, Sample(ordinal, begun, status))
+                await self._pause(begun)
+
+    async def _pause(self, begun: float) -> None:
+        try:
+            async with asyncio.timeout_at(
+                begun + self._failover.probe_interval,
+            ):
+                await self._wanted.wait()
+        except TimeoutError:
+            return
+        await self._until(begun + PACE)
+
+    async def _until(self, time: float) -> None:
+        await asyncio.sleep(max(0, time - self._now()))
--- a/packages/cowslipfork/src/cowslipfork/groups/tracker.py
+++ b/packages/cowslipfork/src/cowslipfork/groups/tracker.py
@@ -20,6 +20,7 @@
     violations,
 )
 from cowslipfork.groups._proof import ProvedPoints
+from cowslipfork.groups._sampling import Listener, Sampling
 from cowslipfork.groups._waiters import (
     Found,
     Waiters,
@@ -36,24 +37,19 @@
 from cowslipfork.groups.port import (
     EndpointControl,
     EndpointRole,
-    EndpointSilent,
     EndpointStatus,
 )
 from cowslipfork.groups.record import GroupRecord
 from cowslipfork.ids import EndpointId, Mark, Term
 
-#: Seconds between begins of an endpoint's samples while somebody waits.
-PACE = 0.005
-
 Count = Callable[[Violation], None]
 
 
 class Tracker:
     """What is known of a group's endpoints, and who waits to know more.
 
-    A waiter needs samples begun after it arrived. While there are waiters,
-    every endpoint is sampled at ``PACE``, so that all waiters of a moment
-    share the next samples; without waiters only each ``probe_interval``.
+    A waiter needs samples begun after it arrived. While there are waiters the
+    sampling is fast, so that all waiters of a moment share the next samples.
     """
 
     def __init__(
@@ -78,6 +74,7 @@
         self._failover = failover
         self._now = now
         self._count = count_violation
+        self._sampling = Sampling(controls, failover, now)
         self._ordinals = count(1)
         self._samples: dict[EndpointId, Sample] = {}
         self._silent_since: dict[EndpointId, float] = {}
@@ -86,8 +83,6 @@
         self._writes: Waiters[int] = Waiters()
         self._unheld: Waiters[Mark] = Waiters()
         self._readers: Waiters[Mark] = Waiters()
-        self._waiting = 0
-        self._wanted = asyncio.Event()
         self._adopted = asyncio.Event()
         self._adopted_at = 0
         self._alarm = asyncio.Event()
@@ -127,7 +122,7 @@
         if not record.supersedes(self._record):
             return False
         self._record = record
-        self._adopted_at = next(self._ordinals)
+        self._adopted_at = self._next_ordinal()
         self._fail_waiters()
         self._adopted.set()
         self._adopted = asyncio.Event()
@@ -143,7 +138,7 @@
     @property
     def waiting(self) -> int:
         """Number of calls that wait for samples."""
-        return self._waiting
+        return self._sampling.waiting
 
     async def served(self, deadline: float) -> bool:
         """Waits until the record names a primary.
@@ -168,9 +163,7 @@
         Args:
             seconds: longest wait.
         """
-        with suppress(TimeoutError):
-            async with asyncio.timeout(seconds):
-                await self._adopted.wait()
+        await _set_within(self._adopted, seconds)
 
     def status(self, endpoint: EndpointId) -> EndpointStatus | None:
         """Gives an endpoint's last answer, however old."""
@@ -226,9 +219,7 @@
         Args:
             seconds: longest wait.
         """
-        with suppress(TimeoutError):
-            async with asyncio.timeout(seconds):
-                await self._alarm.wait()
+        await _set_within(self._alarm, seconds)
         self._alarm.clear()
 
     async def check(self, term: Term, deadline: float) -> Found:
@@ -275,45 +266,18 @@
 
     async def run(self) -> None:
         """Samples every endpoint until cancelled."""
-        async with asyncio.TaskGroup() as group:
-            for endpoint in self._controls:
-                group.create_task(self._sample(endpoint))
-
-    async def _sample(self, endpoint: EndpointId) -> None:
-        control = self._controls[endpoint]
-        while True:
-            ordinal = next(self._ordinals)
-            begun = self._now()
-            try:
-                status = await control.status(
-                    self._failover.probe_timeout,
-                    fresh=False,
-                )
-            except EndpointSilent:
-                self._missed(endpoint, begun)
-                await self._until(begun + self._failover.probe_interval)
-            else:
-                self.observe(endpoint, Sample(ordinal, begun, status))
-                await self._pause(begun)
+        await self._sampling.run(
+            Listener(self._next_ordinal, self.observe, self._missed),
+        )
+
+    def _next_ordinal(self) -> int:
+        return next(self._ordinals)
 
     def _missed(self, endpoint: EndpointId, begun: float) -> None:
         self._silent_since.setdefault(endpoint, begun)
         if endpoint == self._record.primary:
             self._alarm.set()
 
-    async def _pause(self, begun: float) -> None:
-        try:
-            async with asyncio.timeout_at(
-                begun + self._failover.probe_interval,
-            ):
-                await self._wanted.wait()
-        except TimeoutError:
-            return
-        await self._until(begun + PACE)
-
-    async def _until(self, time: float) -> None:
-        await asyncio.sleep(max(0, time - self._now()))
-
     def observe(self, endpoint: EndpointId, sample: Sample) -> None:
         """Takes an answer in and resolves whoever waited for it."""
         before = self._samples.get(endpoint)
@@ -379,7 +343,7 @@
         if term != self._record.term or not self._record.serving:
             return Error(CheckFailure.STALE_TERM)
         waiter = self._waiter()
-        waiters.join(next(self._ordinals), waiter)
+        waiters.join(self._next_ordinal(), waiter)
         return await self._settled(waiter, deadline)
 
     async def _settled(
@@ -387,11 +351,11 @@
         waiter: asyncio.Future[Found],
         deadline: float,
     ) -> Found:
-        self._waiting += 1
-        self._wanted.set()
-        try:
+        with self._sampling.demand():
             return await settled(waiter, deadline)
-        finally:
-            self._waiting -= 1
-            if not self._waiting:
-                self._wanted.clear()
+
+
+async def _set_within(event: asyncio.Event, seconds: float) -> None:
+    with suppress(TimeoutError):
+        async with asyncio.timeout(seconds):
+            await event.wait()
