--- a/packages/cowslipfork-lab/src/cowslipfork_lab/cli.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/cli.py
@@ -17,7 +17,8 @@
 from cowslipfork.errors import CowslipforkError
 from cowslipfork_lab.demo import run_demo
 from cowslipfork_lab.endpoint import EndpointSettings, run_endpoint
-from cowslipfork_lab.load.command import run_load
+from cowslipfork_lab.load.command import run_load, run_soak
+from cowslipfork_lab.mutants import run_mutants
 from cowslipfork_lab.relay import run_relay
 from cowslipfork_lab.serve import serve
 from cowslipfork_lab.store import run_store
@@ -84,6 +85,7 @@
 
 
 app.command('load')(run_load)
+app.command('soak')(run_soak)
 
 
 @app.command()
@@ -109,6 +111,13 @@
     uvloop.run(serve(sample, directory, first_port))
 
 
+@app.command()
+def mutants(name: str = '') -> None:
+    """Switches mechanisms off one at a time; says which test notices."""
+    if not asyncio.run(run_mutants(Path.cwd(), name)):
+        raise typer.Exit(1)
+
+
 def run_until_signal(work: Coroutine[Any, Any, None]) -> None:
     """Runs a server until SIGTERM or ctrl-C.
 
