--- a/packages/cowslipfork-lab/src/cowslipfork_lab/load/command.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/load/command.py
@@ -15,7 +15,7 @@
     Result,
 )
 from cowslipfork_lab.load.mix import job_group, mix_of
-from cowslipfork_lab.load.runner import Baseline, LoadSettings
+from cowslipfork_lab.load.runner import Baseline, LoadSettings, callers_for
 from cowslipfork_lab.load.schedule import random_faults, read_fault
 from cowslipfork_lab.load.text import report_text
 
@@ -26,7 +26,6 @@
 _Sample = Annotated[Path, typer.Argument(help='Such as samples/hilal.')]
 _Rate = Annotated[float, typer.Option(help='Requests a second.')]
 _Seconds = Annotated[float, typer.Option(help='Length of the load.')]
-_Callers = Annotated[int, typer.Option(help='Caller connections.')]
 _Nodes = Annotated[int, typer.Option(help='Number of nodes.')]
 
 
@@ -34,21 +33,22 @@
     sample: _Sample,
     rate: _Rate = 200,
     seconds: _Seconds = 10,
-    callers: _Callers = 60,
     nodes: _Nodes = 5,
     fault: Annotated[
         list[str] | None,
         typer.Option(help='name@second or name@second+length; repeatable.'),
     ] = None,
     baseline: Annotated[Baseline, typer.Option()] = Baseline.PROXY,
+    service_ms: Annotated[float, typer.Option(help='Of a statement.')] = 0,
 ) -> None:
     """Runs a load with faults and checks the history."""
     plan = Plan.of_sample(sample, nodes)
     group = job_group(mix_of(plan.site, plan.group_names))
     settings = ExperimentSettings(
-        LoadSettings(rate, seconds, callers),
+        LoadSettings(rate, seconds, callers_for(rate)),
         baseline,
         [read_fault(text, group) for text in fault or ()],
+        service_ms,
     )
     _conclude(uvloop.run(_run(plan, settings, _LOAD_RUN)))
 
@@ -57,7 +57,6 @@
     sample: _Sample,
     rate: _Rate = 100,
     seconds: _Seconds = 60,
-    callers: _Callers = 60,
     nodes: _Nodes = 5,
     seed: Annotated[int, typer.Option(help='Of load and faults.')] = 1,
 ) -> None:
@@ -68,7 +67,7 @@
     for fault in faults:
         typer.echo(fault)
     settings = ExperimentSettings(
-        LoadSettings(rate, seconds, callers, seed),
+        LoadSettings(rate, seconds, callers_for(rate), seed),
         faults=faults,
     )
     _conclude(uvloop.run(_run(plan, settings, _SOAK_RUN)))
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/load/experiment.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/load/experiment.py
@@ -43,11 +43,13 @@
         load: size of the load.
         baseline: what callers are connected to.
         faults: faults with their times.
+        service_ms: milliseconds that each statement holds its slot.
     """
 
     load: LoadSettings
     baseline: Baseline = Baseline.PROXY
     faults: Sequence[ScheduledFault] = ()
+    service_ms: float = 0
 
 
 class GroupNotServed(CowslipforkError):
@@ -113,6 +115,7 @@
         """
         for group in self._groups:
             await self._set_up(group)
+            await self._set_service_time(group)
         faults = [
             asyncio.create_task(bring(self._cluster, fault))
             for fault in self._settings.faults
@@ -149,6 +152,14 @@
             await asyncio.sleep(_SETUP_PAUSE_SECONDS)
         raise GroupNotServed(group) from failure
 
+    async def _set_service_time(self, group: GroupName) -> None:
+        for endpoint in self._cluster.plan.endpoints(group):
+            await self._cluster.set_fault(
+                endpoint.name,
+                'lab_service_ms',
+                self._settings.service_ms,
+            )
+
     async def _run_all(
         self,
         group: GroupName,
@@ -235,6 +246,7 @@
             'settings': {
                 **asdict(self._settings.load),
                 'baseline': self._settings.baseline.value,
+                'service_ms': self._settings.service_ms,
                 'faults': [fault.name for fault in faults],
                 'nodes': len(self._cluster.nodes),
             },
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/load/runner.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/load/runner.py
@@ -26,6 +26,23 @@
 OWN_READS = 0.5
 
 
+#: Caller connections at least, as many as three groups let in directly.
+FEWEST_CALLERS = 54
+_RATE_OF_CALLER = 4
+
+
+def callers_for(rate: float) -> int:
+    """Gives enough caller connections for an open loop.
+
+    Args:
+        rate: requests a second.
+
+    Returns:
+        Connections, so that a caller is busy for a small part of the time.
+    """
+    return max(FEWEST_CALLERS, int(rate / _RATE_OF_CALLER))
+
+
 @unique
 class Baseline(Enum):
     """What callers are connected to.
--- a/packages/cowslipfork-lab/tests/load/test_load.py
+++ b/packages/cowslipfork-lab/tests/load/test_load.py
@@ -27,6 +27,7 @@
     weighted_availability,
 )
 from cowslipfork_lab.load.mix import UnknownMix, mix_of
+from cowslipfork_lab.load.runner import callers_for
 from cowslipfork_lab.load.schedule import (
     CALM_SECONDS,
     BadFault,
@@ -146,6 +147,10 @@
     assert failover_gap(finals, Fault('kill-primary', 'g', at=5)) == gap
 
 
+def test_callers_grow_with_the_rate():
+    assert [callers_for(rate) for rate in (10, 1000)] == [54, 250]
+
+
 def test_replica_share():
     counters = [
         {'reads': 3, 'replica_reads': 3},
