--- a/Makefile
+++ b/Makefile
@@ -37,6 +37,9 @@
 serve: $(READY)
 	$(BIN)/cowslipfork-lab serve
 
+mutants: $(READY)
+	$(BIN)/cowslipfork-lab mutants
+
 SEED ?= 1
 
 soak: $(READY)
