Node cut off gives up at once; carriers looked up in a table; plain event names

The carrier of a group was chosen anew by hashing for each statement; CarrierTable remembers it. Status says when the store is silent or the node out of touch. Log lines of membership and spread had the event's name twice.

--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/node.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/node.py
@@ -30,10 +30,11 @@
 )
 from cowslipfork.ids import GroupName, RegionName, VmId
 from cowslipfork.limits import TeamLimits
-from cowslipfork.membership import Member, Place, carrier_of, rank
+from cowslipfork.membership import Member, Place, rank
+from cowslipfork.membership.carrier_table import CarrierTable
+from cowslipfork.membership.fleet import STORE_FRESH
 from cowslipfork.membership.handover import holders_of
 from cowslipfork.requests import Run
-from cowslipfork.spread.record import VMS_PREFIX
 from cowslipfork.store import Store
 from cowslipfork.store.etcd import EtcdStore
 from cowslipfork.wire import (
@@ -108,6 +109,7 @@
         self._holdings = Holdings(_empty(settings))
         self._login = Login()
         self._region = RegionName(settings.site)
+        self._carrier_table = CarrierTable(self._region)
         self._reach = Reach(
             self._vm,
             self._holdings,
@@ -120,7 +122,7 @@
             self._settle,
         )
         self._router = Router(
-            self._carrier_of,
+            self._carrier_table.carrier_of,
             self._run_at,
             lambda: self._holdings.configuration.limits.hold,
         )
@@ -128,8 +130,9 @@
         self._listen()
 
     def _listen(self) -> None:
+        self._holdings.listen(self._place_carriers)
         self._holdings.listen(self._settle)
-        self._fleet.fleet.watch_touch(self._settle)
+        self._fleet.fleet.watch_touch(self._on_touch)
         self._fleet.members.watch(self._on_member)
 
     async def run(self) -> None:
@@ -220,13 +223,21 @@
         now = asyncio.get_running_loop().time()
         records = map(self._record_of, self._configuration().groups.values())
         carried = self._carriers.carried
+        age = self._fleet.fleet.store_age(now)
+        store_reachable = age is not None and age <= STORE_FRESH
         return admin_pb2.StatusReply(
             vm=self._vm,
             revision=self._holdings.revision,
-            store_reachable=self._fleet.fleet.store_age(now) is not None,
+            store_reachable=store_reachable,
             nodes=status.node_statuses(self._fleet.members),
-            groups=status.group_statuses(records, carried, self._carrier_of),
-            cannot=status.impediments(carried),
+            groups=status.group_statuses(
+                records, carried, self._carrier_table.carrier_of
+            ),
+            cannot=status.impediments(
+                carried,
+                store_reachable=store_reachable,
+                in_touch=self._in_touch(),
+            ),
         )
 
     def _configuration(self) -> Configuration:
@@ -242,8 +253,8 @@
             if not neighbour.leaving
         ]
 
-    def _carrier_of(self, group: GroupName) -> VmId | None:
-        return carrier_of(group, self._places(), self._region)
+    def _place_carriers(self) -> None:
+        self._carrier_table.set_places(self._places())
 
     def _run_at(self, vm: VmId) -> Run:
         if vm == self._vm:
@@ -269,15 +280,12 @@
 
         A node out of touch carries nothing, and a new carrier waits until
         the one before has given the group up, so that the limits of its
-        endpoints hold. Before the platform's list was heard a node knows
-        only itself and would take every group for its own.
+        endpoints hold.
         """
-        members = self._fleet.members
         return (
-            self._carrier_of(group) == self._vm
-            and bool(self._fleet.records.below(VMS_PREFIX))
-            and members.in_touch(asyncio.get_running_loop().time())
-            and not holders_of(group, members.all)
+            self._carrier_table.carrier_of(group) == self._vm
+            and self._in_touch()
+            and not holders_of(group, self._fleet.members.all)
         )
 
     def _tell_carried(self) -> None:
@@ -286,6 +294,20 @@
         if own.carries != carries:
             self._fleet.fleet.tell(replace(own, carries=carries))
 
+    def _on_touch(self) -> None:
+        """Gives everything up at once when the node is cut off.
+
+        Others take its groups over, and two carriers at work would use more
+        slots than the endpoints have.
+        """
+        if not self._in_touch():
+            self._carriers.close()
+        self._settle()
+
+    def _in_touch(self) -> bool:
+        now = asyncio.get_running_loop().time()
+        return self._fleet.members.in_touch(now)
+
     def _on_member(self, before: Member | None, after: Member) -> None:
         # Another node has given a group up, or has begun to carry it.
         carried = before.report.carries if before else frozenset()
--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/status.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/status.py
@@ -117,15 +117,29 @@
     )
 
 
-def impediments(carried: Mapping[GroupName, GroupCarrier]) -> Iterator[str]:
+def impediments(
+    carried: Mapping[GroupName, GroupCarrier],
+    *,
+    store_reachable: bool,
+    in_touch: bool,
+) -> Iterator[str]:
     """Says what cannot go on now.
 
     Args:
         carried: carriers at this node.
+        store_reachable: whether the store answered a relay lately.
+        in_touch: whether the node hears a majority of its region.
 
     Yields:
-        A sentence for each group that takes no writes.
+        A sentence for each thing that cannot go on.
     """
+    if not store_reachable:
+        yield (
+            'the store does not answer: no change can be accepted and no '
+            'primary can be replaced'
+        )
+    if not in_touch:
+        yield 'this node hears no majority of its region: it carries no group'
     for name, carrier in carried.items():
         condition = carrier.health.condition
         refused = write_refusal(condition)
--- a/packages/cowslipfork/src/cowslipfork/logs.py
+++ b/packages/cowslipfork/src/cowslipfork/logs.py
@@ -84,7 +84,7 @@
     else:
         handler.setFormatter(KeyValueFormatter(vm))
     logging.basicConfig(level=logging.INFO, handlers=[handler], force=True)
-    # The library reports each refused login and statement as an error.
+    # The library logs free text of its own for each connection.
     logging.getLogger('mysql_mimic').setLevel(logging.CRITICAL)
 
 
--- a/packages/cowslipfork/src/cowslipfork/membership/fleet.py
+++ b/packages/cowslipfork/src/cowslipfork/membership/fleet.py
@@ -178,7 +178,7 @@
             listed = listed_vms(self._holdings, self._region_of)
             self._members.list_vms(listed, now)
         if self._members.tick(now):
-            _logger.warning('event=woke_late')
+            _logger.warning('woke late')
             await self._links.reopen()
         in_touch = self._members.in_touch(now)
         if in_touch is not self._touched:
@@ -191,7 +191,7 @@
 
     def _note_touch(self, *, in_touch: bool) -> None:
         self._touched = in_touch
-        _logger.info('event=in_touch value=%s', in_touch)
+        _logger.info('in touch', extra={'in_touch': in_touch})
         for watcher in self._touch_watchers:
             watcher()
 
@@ -248,10 +248,12 @@
     def _on_member(self, before: Member | None, after: Member) -> None:
         if before is None or before.state is not after.state:
             _logger.info(
-                'event=member vm=%s state=%s proof=%s',
-                after.report.vm,
-                after.state.value,
-                after.report.proof.value,
+                'member',
+                extra={
+                    'peer': after.report.vm,
+                    'state': after.state.value,
+                    'proof': after.report.proof.value,
+                },
             )
         if self._told != self._members.changes.last:
             self._told = self._members.changes.last
--- a/packages/cowslipfork/src/cowslipfork/membership/links.py
+++ b/packages/cowslipfork/src/cowslipfork/membership/links.py
@@ -149,9 +149,8 @@
             await self._receive(link)
         except (PeerSilent, RecordUnreadable) as ended:
             _logger.info(
-                'event=link_ended vm=%s cause="%s"',
-                link.peer,
-                ended,
+                'link ended',
+                extra={'peer': link.peer, 'cause': str(ended)},
             )
         finally:
             sender.cancel()
--- a/packages/cowslipfork/src/cowslipfork/spread/fetch.py
+++ b/packages/cowslipfork/src/cowslipfork/spread/fetch.py
@@ -100,7 +100,10 @@
         try:
             await self._fetch_pages(vm)
         except (PeerSilent, RecordUnreadable) as error:
-            _logger.warning('event=fetch_failed vm=%s cause="%s"', vm, error)
+            _logger.warning(
+                'fetch failed',
+                extra={'peer': vm, 'cause': str(error)},
+            )
 
     async def _fetch_pages(self, vm: VmId) -> None:
         for _ in range(FETCH_PAGES):
--- a/packages/cowslipfork/src/cowslipfork/spread/relay.py
+++ b/packages/cowslipfork/src/cowslipfork/spread/relay.py
@@ -115,9 +115,8 @@
         if prefix not in self._down:
             self._down.add(prefix)
             _logger.warning(
-                'event=store_down prefix=%s cause="%s"',
-                prefix,
-                down,
+                'store down',
+                extra={'prefix': prefix, 'cause': down.cause},
             )
 
     def _apply(self, events: Iterable[Event]) -> None:
@@ -125,6 +124,9 @@
             try:
                 record = read_record(event.key, event.content, event.revision)
             except RecordUnreadable as error:
-                _logger.error('event=record_unreadable cause="%s"', error)
+                _logger.error(
+                    'record unreadable',
+                    extra={'cause': str(error)},
+                )
                 continue
             self._holdings.apply(record)
