BEGIN is held while carrier or primary change; a second signal ends a node

BEGIN went to the carrier once and was answered 'transaction lost' while no VM carried the group, though it had not run; it is now held like other statements, those inside a transaction are not. SIGTERM twice: the second was swallowed, a node with a long transaction could only be killed.

--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/node.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/node.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import logging
-import signal
 from collections import Counter
 from collections.abc import Mapping
 from contextlib import AsyncExitStack, suppress
@@ -64,6 +63,7 @@
 from cowslipfork_proxy.probing import probe
 from cowslipfork_proxy.reach import Reach
 from cowslipfork_proxy.routing import Router
+from cowslipfork_proxy.signals import handle_signals
 
 log = logging.getLogger(__name__)
 
@@ -376,15 +376,13 @@
 
 
 async def run_node(settings: NodeSettings) -> None:
-    """Runs a node until SIGTERM or SIGINT.
+    """Runs a node until SIGTERM or SIGINT; a second one ends it at once.
 
     Args:
         settings: the VM's own settings.
     """
     stop = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
+    handle_signals(stop)
     calls: Counter[str] = Counter()
     store = EtcdStore(
         *settings.store,
--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/routing.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/routing.py
@@ -59,8 +59,6 @@
             Its outcome. A statement that was not run because the carrier or
             the primary changes is held and tried again within its deadline.
         """
-        if request.transaction is not None:
-            return await self._in_transaction(request, request.transaction)
         outcome = await self._once(request)
         if not _may_pass(outcome, request):
             return outcome
@@ -91,6 +89,8 @@
         return outcome
 
     async def _once(self, request: Request) -> Outcome[Answer]:
+        if request.transaction is not None:
+            return await self._in_transaction(request, request.transaction)
         vm = self._carrier_of(request.group)
         if vm is None:
             return NotRun(
@@ -129,6 +129,10 @@
 
 def _may_pass(outcome: Outcome[Answer], request: Request) -> bool:
     """Tells whether another try is safe and may fare better."""
+    inside = request.transaction is not None
+    if inside and request.operation is not Operation.BEGIN:
+        # What a transaction has done so far is with its carrier only.
+        return False
     if isinstance(outcome, NotRun):
         return outcome.reason in _PASSING
     # A job is recorded once, however often it is sent.
--- a/packages/cowslipfork-proxy/tests/test_routing.py
+++ b/packages/cowslipfork-proxy/tests/test_routing.py
@@ -98,3 +98,18 @@
     assert asked == [A, A, A]
     after = await route.run(request(Operation.WRITE, transaction=name))
     assert after.reason is Reason.TRANSACTION_LOST
+
+
+async def test_a_begin_is_held_and_its_statements_are_not():
+    route, asked = router(
+        [NO_CARRIER, DONE, NO_PRIMARY],
+        carriers=[A, B],
+    )
+    name = TransactionId('t')
+
+    begun = await route.run(request(Operation.BEGIN, transaction=name))
+    inside = await route.run(request(Operation.WRITE, transaction=name))
+
+    assert begun == DONE
+    assert inside == NO_PRIMARY
+    assert asked == [A, B, B]
