Waiting for silence always sleeps; the fake loop tells a livelock

The wait until suspect_after slept for what was left; when that rounds to nothing beside the clock, the loop went round without time passing. On a real clock it spins for less than a microsecond, on virtual time for ever. It now sleeps at least 1 ms. VirtualLoop raises Livelock after 50,000 rounds at one moment, so such a loop fails instead of hanging.

--- a/packages/cowslipfork/src/cowslipfork/groups/suspicion.py
+++ b/packages/cowslipfork/src/cowslipfork/groups/suspicion.py
@@ -21,6 +21,9 @@
 #: taken for cut off from them.
 STALL_AFTER = 1
 
+#: Seconds of the shortest sleep while silence is waited for.
+_LEAST_REST = 0.001
+
 
 @unique
 class Evidence(Enum):
@@ -185,6 +188,8 @@
     primary = tracker.record.primary
     silence = tracker.silence(primary)
     while 0 < silence < tracker.failover.suspect_after:
-        await asyncio.sleep(tracker.failover.suspect_after - silence)
+        # A rest that rounds to nothing would not move the clock.
+        rest = tracker.failover.suspect_after - silence
+        await asyncio.sleep(max(rest, _LEAST_REST))
         silence = tracker.silence(primary)
     return silence > 0
--- a/packages/cowslipfork/tests/fakes/virtual_time.py
+++ b/packages/cowslipfork/tests/fakes/virtual_time.py
@@ -10,9 +10,18 @@
     """Nothing is ready and no timer is set."""
 
 
+class Livelock(RuntimeError):
+    """Tasks run on and on without a timer: a loop that never waits."""
+
+
+#: Rounds of the loop at one moment after which it is a livelock.
+MOST_ROUNDS = 50_000
+
+
 class VirtualLoop(asyncio.SelectorEventLoop):
     def __init__(self):
         self._virtual = 0.0
+        self._rounds = 0
         super().__init__()
 
     def time(self):
@@ -25,7 +34,12 @@
         if not self._ready and not self._stopping:
             if not self._scheduled:
                 raise Deadlock
-            self._virtual = max(self._virtual, self._scheduled[0]._when)
+            if self._scheduled[0]._when > self._virtual:
+                self._virtual = self._scheduled[0]._when
+                self._rounds = 0
+        self._rounds += 1
+        if self._rounds > MOST_ROUNDS:
+            raise Livelock(self._virtual)
         super()._run_once()
 
 
--- /dev/null
+++ b/packages/cowslipfork/tests/groups/test_suspicion.py
@@ -0,0 +1,24 @@
+import asyncio
+from math import nextafter
+from types import SimpleNamespace
+
+from virtual_time import now, run_virtual
+
+from cowslipfork.configuration import Failover
+from cowslipfork.groups.suspicion import _stays_silent
+
+
+def test_a_rest_that_rounds_to_nothing_is_waited_for():
+    # The random histories hung here with seed 21.
+    async def scenario():
+        await asyncio.sleep(100)
+        begun = now()
+        almost = nextafter(Failover().suspect_after, 0)
+        tracker = SimpleNamespace(
+            failover=Failover(),
+            record=SimpleNamespace(primary='e1'),
+            silence=lambda _: almost + (now() - begun),
+        )
+        assert await _stays_silent(tracker)
+
+    run_virtual(scenario())
