--- a/packages/cowslipfork-lab/src/cowslipfork_lab/load/experiment.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/load/experiment.py
@@ -43,7 +43,7 @@
         load: size of the load.
         baseline: what callers are connected to.
         faults: faults with their times.
-        service_ms: milliseconds that each statement holds its slot.
+        service_ms: time that each statement holds its slot.
     """
 
     load: LoadSettings
@@ -115,7 +115,7 @@
         """
         for group in self._groups:
             await self._set_up(group)
-            await self._set_service_time(group)
+        await self._slow_down()
         faults = [
             asyncio.create_task(bring(self._cluster, fault))
             for fault in self._settings.faults
@@ -130,6 +130,15 @@
         (self._directory / 'report.json').write_text(report)
         return Result(document, violations)
 
+    async def _slow_down(self) -> None:
+        if self._settings.service_ms:
+            for name, _, _ in self._cluster.endpoint_ports():
+                await self._cluster.set_fault(
+                    name,
+                    'lab_service_ms',
+                    self._settings.service_ms,
+                )
+
     def _ports(self, group: GroupName) -> Sequence[int]:
         if self._settings.baseline == Baseline.PROXY:
             return self._cluster.caller_ports
@@ -152,14 +161,6 @@
             await asyncio.sleep(_SETUP_PAUSE_SECONDS)
         raise GroupNotServed(group) from failure
 
-    async def _set_service_time(self, group: GroupName) -> None:
-        for endpoint in self._cluster.plan.endpoints(group):
-            await self._cluster.set_fault(
-                endpoint.name,
-                'lab_service_ms',
-                self._settings.service_ms,
-            )
-
     async def _run_all(
         self,
         group: GroupName,
