Log groups carried and given up; reads held for a silent primary are bounded

No line told when a group was carried, which made a start-up fault hard to read. choose() takes limits.hold. make soak also runs the seeded long forms of the state machines.

--- a/Makefile
+++ b/Makefile
@@ -45,6 +45,8 @@
 soak: $(READY)
 	$(BIN)/cowslipfork-lab soak samples/hilal --seed $(SEED)
 	$(BIN)/cowslipfork-lab soak samples/nilebean --seed $(SEED)
+	COWSLIPFORK_SOAK=120 COWSLIPFORK_SEED=$(SEED) $(BIN)/python -m pytest -s packages/cowslipfork/tests/groups/test_promises.py
+	SOAK=20 $(BIN)/python -m pytest --hypothesis-seed=$(SEED) packages/cowslipfork/tests/configuration/test_accept_machine.py
 
 generate: $(READY)
 	cd packages/cowslipfork/src && PATH=$(abspath $(BIN)):$$PATH python -m grpc_tools.protoc -I . \
--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/carrier/_reads.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/carrier/_reads.py
@@ -35,6 +35,7 @@
 
     Attributes:
         floor: highest mark of the session; None if it is not known.
+        most_held: most reads of the group that wait for a silent primary.
         avoided: endpoints that failed this read; grows with each try.
     """
 
@@ -42,6 +43,7 @@
     kind: Kind
     request_class: RequestClass
     floor: Mark | None
+    most_held: int
     avoided: set[EndpointId] = field(default_factory=set)
 
 
@@ -67,6 +69,7 @@
         grants.queue.load,
         read.request.deadline,
         primary_reads=read.kind.primary_reads,
+        hold=read.most_held,
     )
     match chosen:
         case Result(tag='ok', ok=found):
--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/carrier/carriers.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/carrier/carriers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from collections.abc import Callable, Coroutine, Iterable, Set
 from dataclasses import dataclass
 from typing import Any, Final
@@ -18,6 +19,9 @@
 _FINISH_POLL: Final = 0.02
 
 
+log = logging.getLogger(__name__)
+
+
 @dataclass(frozen=True, slots=True)
 class Carried:
     """A carried group and the coroutine that supervises it."""
@@ -162,10 +166,12 @@
         made = self._make(group)
         if made is not None:
             task = asyncio.create_task(made.supervise())
+            log.info('group carried', extra={'group': group})
             nothing: asyncio.Future[None] = asyncio.Future()
             self._carried[group] = _Held(made.carrier, task, nothing)
 
     def _retire(self, group: GroupName) -> None:
+        log.info('group given up', extra={'group': group})
         item = self._carried.pop(group)
         self._retiring[group] = item
         item.finishing = asyncio.create_task(self._finish(group, item))
--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/carrier/group_carrier.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/carrier/group_carrier.py
@@ -183,6 +183,7 @@
             kind,
             self._class(kind),
             self._session_mark(request),
+            self._configuration().limits.hold,
         )
         attempt = partial(run_read, read, self._tracker, self._grants)
         return await self._again(request, attempt, _at_once)
