Placement of carriers in a module; a changed endpoint rebuilds its carrier

Cause: carriers were kept by name, so that a change of a group's endpoints, slots or connections was in force everywhere but in the running carrier. Test: the rebuilt carrier serves, the old one's transaction commits.

--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/carrier/_transactions.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/carrier/_transactions.py
@@ -66,6 +66,17 @@
         """Transactions that have not ended."""
         return len(self._open)
 
+    def has(self, transaction: TransactionId) -> bool:
+        """Tells whether a transaction is open.
+
+        Args:
+            transaction: its id.
+
+        Returns:
+            Whether it has begun and not ended.
+        """
+        return transaction in self._open
+
     async def begin(
         self,
         request: Request,
--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/carrier/carriers.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/carrier/carriers.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Coroutine, Iterable, Set
+from collections.abc import Callable, Coroutine, Hashable, Mapping, Set
 from dataclasses import dataclass
 from typing import Any, Final
 
@@ -35,12 +35,14 @@
     """A group whose connections are open here.
 
     Attributes:
+        described: all of the configuration that the carrier was built from.
         supervised: samples and supervises the group.
         finishing: lets what has begun finish, once the group is given up.
         running: statements outside transactions without an outcome.
         freed: whether another node may carry the group.
     """
 
+    described: Hashable
     carrier: GroupCarrier
     supervised: asyncio.Task[None]
     finishing: asyncio.Future[None]
@@ -100,17 +102,18 @@
         """Carriers by group."""
         return {name: item.carrier for name, item in self._carried.items()}
 
-    def settle(self, wanted: Iterable[GroupName]) -> None:
+    def settle(self, wanted: Mapping[GroupName, Hashable]) -> None:
         """Carries just these groups from now on.
 
         Args:
-            wanted: the groups.
+            wanted: the groups, each with all of the configuration that its
+                carrier is built from; a change builds the carrier anew.
         """
-        names = set(wanted)
-        for group in self._carried.keys() - names:
-            self._retire(group)
-        for missing in names - self._carried.keys():
-            self._start(missing)
+        for group, item in tuple(self._carried.items()):
+            if group not in wanted or wanted[group] != item.described:
+                self._retire(group)
+        for missing in wanted.keys() - self._carried.keys():
+            self._start(missing, wanted[missing])
 
     def close(self) -> None:
         """Stops carrying everything at once."""
@@ -134,7 +137,7 @@
         Returns:
             Its outcome; not run if the group is carried elsewhere.
         """
-        item = self._carried.get(request.group) or self._finisher(request)
+        item = self._server_of(request)
         if item is None:
             return NotRun(
                 Reason.NO_CARRIER,
@@ -149,16 +152,22 @@
         finally:
             item.running -= 1
 
-    def _finisher(self, request: Request) -> _Held | None:
+    def _server_of(self, request: Request) -> _Held | None:
+        item = self._carried.get(request.group)
+        former = self._retiring.get(request.group)
+        name = request.transaction
+        if name is None or request.operation is Operation.BEGIN:
+            return item
         # A transaction ends where it began; nothing new begins there.
-        if request.transaction is None or request.operation is Operation.BEGIN:
-            return None
-        return self._retiring.get(request.group)
+        if former is not None and former.carrier.has_transaction(name):
+            return former
+        return item or former
 
-    def _start(self, group: GroupName) -> None:
-        kept = self._retiring.pop(group, None)
-        if kept is not None:
+    def _start(self, group: GroupName, described: Hashable) -> None:
+        kept = self._retiring.get(group)
+        if kept is not None and kept.described == described:
             # It came back before it was finished: it simply goes on.
+            del self._retiring[group]
             kept.finishing.cancel()
             kept.freed = False
             self._carried[group] = kept
@@ -168,10 +177,19 @@
             task = asyncio.create_task(made.supervise())
             log.info('group carried', extra={'group': group})
             nothing: asyncio.Future[None] = asyncio.Future()
-            self._carried[group] = _Held(made.carrier, task, nothing)
+            self._carried[group] = _Held(
+                described,
+                made.carrier,
+                task,
+                nothing,
+            )
 
     def _retire(self, group: GroupName) -> None:
         log.info('group given up', extra={'group': group})
+        former = self._retiring.pop(group, None)
+        if former is not None:
+            former.finishing.cancel()
+            former.end()
         item = self._carried.pop(group)
         self._retiring[group] = item
         item.finishing = asyncio.create_task(self._finish(group, item))
--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/carrier/group_carrier.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/carrier/group_carrier.py
@@ -22,6 +22,7 @@
     KindName,
     Mark,
     Term,
+    TransactionId,
 )
 from cowslipfork.limits import RetryBudget
 from cowslipfork.outcomes import Done, NotRun, Outcome, Reason, Refused, Unknown
@@ -121,6 +122,17 @@
         """Transactions that have begun and not ended."""
         return self._transactions.count
 
+    def has_transaction(self, transaction: TransactionId) -> bool:
+        """Tells whether a transaction is open here.
+
+        Args:
+            transaction: its id.
+
+        Returns:
+            Whether it has begun and not ended.
+        """
+        return self._transactions.has(transaction)
+
     def adopt(self, record: GroupRecord) -> None:
         """Takes a newer record over and ends what ran in earlier terms.
 
--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/node.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/node.py
@@ -7,7 +7,6 @@
 from collections import Counter
 from collections.abc import Mapping
 from contextlib import AsyncExitStack, suppress
-from dataclasses import replace
 from functools import partial
 from typing import Final
 from uuid import uuid4
@@ -29,10 +28,7 @@
 )
 from cowslipfork.ids import GroupName, RegionName, VmId
 from cowslipfork.limits import TeamLimits
-from cowslipfork.membership import Member, Place, rank
-from cowslipfork.membership.carrier_table import CarrierTable
 from cowslipfork.membership.fleet import STORE_FRESH
-from cowslipfork.membership.handover import holders_of
 from cowslipfork.requests import Run
 from cowslipfork.store import Store
 from cowslipfork.store.etcd import EtcdStore
@@ -60,6 +56,7 @@
     announce,
     assemble_fleet,
 )
+from cowslipfork_proxy.placement import Placement
 from cowslipfork_proxy.probing import probe
 from cowslipfork_proxy.reach import Reach
 from cowslipfork_proxy.routing import Router
@@ -108,32 +105,35 @@
         self._violations = self._meter.create_counter('invariant_violations')
         self._holdings = Holdings(_empty(settings))
         self._login = Login()
-        self._region = RegionName(settings.site)
-        self._carrier_table = CarrierTable(self._region)
         self._reach = Reach(
             self._vm,
             self._holdings,
             partial(administration.peer_channel, settings),
         )
         self._fleet = self._join(asyncio.get_running_loop().time())
+        self._placement = Placement(
+            self._vm,
+            RegionName(settings.site),
+            self._holdings,
+            self._fleet,
+        )
         self._carriers = Carriers(
             partial(carry, self._parts()),
             lambda: self._configuration().limits.drain,
-            self._settle,
+            lambda: self._placement.settle(self._carriers),
         )
+        self._placement.govern(self._carriers)
         self._router = Router(
-            self._carrier_table.carrier_of,
+            self._placement.carrier_of,
             self._run_at,
             lambda: self._holdings.configuration.limits.hold,
         )
         self._in_force = asyncio.Event()
-        self._listen()
+        self._holdings.listen(self._note_configured)
 
-    def _listen(self) -> None:
-        self._holdings.listen(self._place_carriers)
-        self._holdings.listen(self._settle)
-        self._fleet.fleet.watch_touch(self._on_touch)
-        self._fleet.members.watch(self._on_member)
+    def _note_configured(self) -> None:
+        if self._holdings.revision:
+            self._in_force.set()
 
     async def run(self) -> None:
         """Serves until told to stop, then drains."""
@@ -145,7 +145,7 @@
             await self._stop.wait()
             log.info('node draining')
             self._fleet.fleet.leave()
-            self._settle()
+            self._placement.settle(self._carriers)
             await callers.drain()
             await self._carriers.finished()
         log.info('node stopped')
@@ -231,12 +231,12 @@
             store_reachable=store_reachable,
             nodes=status.node_statuses(self._fleet.members),
             groups=status.group_statuses(
-                records, carried, self._carrier_table.carrier_of
+                records, carried, self._placement.carrier_of
             ),
             cannot=status.impediments(
                 carried,
                 store_reachable=store_reachable,
-                in_touch=self._in_touch(),
+                in_touch=self._placement.in_touch,
             ),
         )
 
@@ -246,74 +246,11 @@
     def _revision(self) -> float:
         return self._holdings.revision
 
-    def _places(self) -> list[Place]:
-        return [
-            neighbour.place
-            for neighbour in self._holdings.neighbours.values()
-            if not neighbour.leaving
-        ]
-
-    def _place_carriers(self) -> None:
-        self._carrier_table.set_places(self._places())
-
     def _run_at(self, vm: VmId) -> Run:
         if vm == self._vm:
             return self._carriers.run
         return self._reach.run_at(vm)
 
-    def _settle(self) -> None:
-        """Carries the groups that rendezvous gives to this VM."""
-        if self._holdings.revision:
-            self._in_force.set()
-        groups = self._holdings.configuration.groups
-        self._carriers.settle(
-            [group for group in groups if self._may_carry(group)],
-        )
-        for name, carrier in self._carriers.carried.items():
-            record = self._holdings.records.get(name)
-            if record is not None:
-                carrier.adopt(record)
-        self._tell_carried()
-
-    def _may_carry(self, group: GroupName) -> bool:
-        """Tells whether this node carries a group now.
-
-        A node out of touch carries nothing, and a new carrier waits until
-        the one before has given the group up, so that the limits of its
-        endpoints hold.
-        """
-        return (
-            self._carrier_table.carrier_of(group) == self._vm
-            and self._in_touch()
-            and not holders_of(group, self._fleet.members.all)
-        )
-
-    def _tell_carried(self) -> None:
-        carries = frozenset(self._carriers.held)
-        own = self._fleet.members.own
-        if own.carries != carries:
-            self._fleet.fleet.tell(replace(own, carries=carries))
-
-    def _on_touch(self) -> None:
-        """Gives everything up at once when the node is cut off.
-
-        Others take its groups over, and two carriers at work would use more
-        slots than the endpoints have.
-        """
-        if not self._in_touch():
-            self._carriers.close()
-        self._settle()
-
-    def _in_touch(self) -> bool:
-        now = asyncio.get_running_loop().time()
-        return self._fleet.members.in_touch(now)
-
-    def _on_member(self, before: Member | None, after: Member) -> None:
-        # Another node has given a group up, or has begun to carry it.
-        carried = before.report.carries if before else frozenset()
-        if carried != after.report.carries:
-            self._settle()
-
     def _join(self, now: float) -> FleetParts:
         settings = self._settings
         return assemble_fleet(
@@ -351,7 +288,7 @@
             record_of=self._record_of,
             announce=self._announce,
             ask_peers=self._reach.ask_peers,
-            ranks=self._ranks,
+            ranks=self._placement.ranks,
             count_violation=self._count_violation,
         )
 
@@ -361,9 +298,6 @@
     def _announce(self, record: GroupRecord) -> None:
         announce(self._fleet.records, record)
 
-    def _ranks(self, group: GroupName) -> list[VmId]:
-        return rank(group, self._places(), self._region)
-
     def _count_violation(self, group: GroupName, violation: Violation) -> None:
         log.error(
             'invariant violated',
--- a/packages/cowslipfork-proxy/tests/carrier/test_carriers.py
+++ b/packages/cowslipfork-proxy/tests/carrier/test_carriers.py
@@ -25,6 +25,9 @@
     def close(self):
         self.closed = True
 
+    def has_transaction(self, transaction):
+        return self.open_transactions > 0
+
     async def turn(self):
         await asyncio.sleep(0.02)
 
@@ -54,7 +57,7 @@
         lambda: 5,
         lambda: stopped.append(GROUP),
     )
-    carriers.settle([GROUP])
+    carriers.settle({GROUP: 1})
     yield carriers, carrier, stopped
     carriers.close()
 
@@ -64,7 +67,7 @@
     carrier.open_transactions = carrier.lent = 1
     running = asyncio.create_task(carriers.run(statement()))
     await asyncio.sleep(0)
-    carriers.settle([])
+    carriers.settle({})
     refused = await carriers.run(statement())
     begin = await carriers.run(statement(Operation.BEGIN, 't2'))
 
@@ -89,7 +92,7 @@
 async def test_rows_still_read_keep_the_group(carrying):
     carriers, carrier, stopped = carrying
     carrier.lent = 1
-    carriers.settle([])
+    carriers.settle({})
     for _ in range(3):
         await carrier.turn()
 
@@ -105,9 +108,9 @@
 async def test_group_that_comes_back_goes_on_where_it_was(carrying):
     carriers, carrier, _ = carrying
     carrier.open_transactions = carrier.lent = 1
-    carriers.settle([])
+    carriers.settle({})
     await carrier.turn()
-    carriers.settle([GROUP])
+    carriers.settle({GROUP: 1})
 
     assert GROUP in carriers.carried
     assert carriers.held == {GROUP}
@@ -125,8 +128,34 @@
         lambda: 0,
         lambda: None,
     )
-    carriers.settle([GROUP])
-    carriers.settle([])
+    carriers.settle({GROUP: 1})
+    carriers.settle({})
     await carriers.finished()
 
     assert carrier.closed
+
+
+async def test_a_changed_configuration_builds_the_carrier_anew():
+    made = [FakeCarrier(), FakeCarrier()]
+    before, after = made
+    waiting = list(made)
+    carriers = Carriers(
+        lambda group: Carried(waiting.pop(0), supervise),
+        lambda: 5,
+        lambda: None,
+    )
+    carriers.settle({GROUP: 1})
+    before.open_transactions = before.lent = 1
+    carriers.settle({GROUP: 1})
+    assert carriers.carried[GROUP] is before
+
+    carriers.settle({GROUP: 2})
+
+    assert carriers.carried[GROUP] is after
+    before.release.set()
+    assert await carriers.run(statement(Operation.COMMIT, 't')) == Done(True)
+    before.open_transactions = before.lent = 0
+    await carriers.finished()
+    assert before.closed
+    assert not after.closed
+    carriers.close()
