Endpoints that the platform lists as leaving get no new work

The list's entries of endpoints spread to all nodes and were used by nobody: only an endpoint that said itself that it leaves was avoided. Both count now; reads avoid it at once, a leaving primary is handed over. Test: table over the list's news, late news included.

--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/carrier/assembly.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/carrier/assembly.py
@@ -7,6 +7,7 @@
 
 from cowslipfork.configuration import Configuration, Endpoint, Group
 from cowslipfork.groups import GroupRecord, Health, Tracker, Violation
+from cowslipfork.ids import EndpointId
 from cowslipfork.limits import SlotQueue
 from cowslipfork_proxy.carrier._grants import Grants
 from cowslipfork_proxy.carrier.group_carrier import GroupCarrier
@@ -30,6 +31,7 @@
     login: Login,
     now: Callable[[], float],
     count_violation: Callable[[Violation], None],
+    is_leaving: Callable[[EndpointId], bool],
 ) -> GroupCarrier:
     """Wires pools, controls, queue and tracker of a group.
 
@@ -40,6 +42,7 @@
         login: how to log in to endpoints.
         now: the loop's clock in seconds.
         count_violation: counts broken invariants.
+        is_leaving: tells whether the platform takes an endpoint away.
 
     Returns:
         The carrier; its tracker does not run yet.
@@ -50,7 +53,7 @@
     tracker = Tracker(
         record,
         {
-            name: MysqlControl(endpoint, endpoints, login)
+            name: MysqlControl(endpoint, endpoints, login, is_leaving)
             for name, endpoint in endpoints.items()
         },
         configuration().failover,
--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/carrier/carrying.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/carrier/carrying.py
@@ -18,7 +18,7 @@
     Violation,
     supervise,
 )
-from cowslipfork.ids import GroupName, VmId
+from cowslipfork.ids import EndpointId, GroupName, VmId
 from cowslipfork.store import Store
 from cowslipfork_proxy.carrier.assembly import assemble
 from cowslipfork_proxy.carrier.carriers import Carried
@@ -40,6 +40,7 @@
         ask_peers: asks other nodes about a primary.
         ranks: gives the VMs of a group, its carrier first.
         count_violation: counts broken invariants of a group.
+        is_leaving: tells whether the platform takes an endpoint away.
     """
 
     vm: VmId
@@ -52,6 +53,7 @@
     ask_peers: AskPeers
     ranks: Callable[[GroupName], Sequence[VmId]]
     count_violation: Callable[[GroupName, Violation], None]
+    is_leaving: Callable[[EndpointId], bool]
 
 
 def carry(parts: CarryingParts, name: GroupName) -> Carried | None:
@@ -75,6 +77,7 @@
         parts.login,
         asyncio.get_running_loop().time,
         partial(parts.count_violation, name),
+        parts.is_leaving,
     )
     tracker = carrier.tracker
     endpoints = {
--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/endpoints/control.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/endpoints/control.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+from dataclasses import replace
+
 from cowslipfork.configuration import Endpoint
 from cowslipfork.groups import (
     EndpointRole,
@@ -32,6 +35,11 @@
 )
 
 
+def _stays(endpoint: EndpointId) -> bool:
+    """Knows of no platform's list."""
+    return False
+
+
 class MysqlControl:
     """Control of one endpoint; implements ``EndpointControl``."""
 
@@ -40,6 +48,7 @@
         endpoint: Endpoint,
         peers: dict[EndpointId, Endpoint],
         login: Login,
+        is_leaving: Callable[[EndpointId], bool] = _stays,
     ) -> None:
         """Remembers whom to control; connects when first used.
 
@@ -47,10 +56,13 @@
             endpoint: the endpoint.
             peers: all endpoints of its group, for ``follow``.
             login: user and password.
+            is_leaving: tells whether the platform's list has the endpoint
+                as leaving.
         """
         self._endpoint = endpoint
         self._peers = peers
         self._login = login
+        self._is_leaving = is_leaving
         self._kept: EndpointConnection | None = None
 
     def close(self) -> None:
@@ -116,7 +128,9 @@
         # Two statements at once open two connections; one is kept.
         self.close()
         self._kept = kept
-        return _status(rows[0])
+        status = _status(rows[0])
+        leaving = status.leaving or self._is_leaving(self._endpoint.name)
+        return replace(status, leaving=leaving)
 
 
 def _status(row: Row) -> EndpointStatus:
--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/holdings.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/holdings.py
@@ -8,7 +8,7 @@
 
 from cowslipfork.configuration import Configuration
 from cowslipfork.groups import GroupRecord
-from cowslipfork.ids import GroupName, Revision, VmId
+from cowslipfork.ids import EndpointId, GroupName, Revision, VmId
 from cowslipfork.membership import Place
 
 #: Called after each change of what is in force.
@@ -42,6 +42,7 @@
         self._revision = Revision(0)
         self._records: dict[GroupName, GroupRecord] = {}
         self._neighbours: dict[VmId, Neighbour] = {}
+        self._leaving_endpoints: set[EndpointId] = set()
         self._listeners: list[Listener] = []
 
     @property
@@ -64,6 +65,17 @@
         """VMs that may carry groups, this one included."""
         return self._neighbours
 
+    def is_leaving(self, endpoint: EndpointId) -> bool:
+        """Tells whether the platform is about to take an endpoint away.
+
+        Args:
+            endpoint: the endpoint.
+
+        Returns:
+            What the platform's list says.
+        """
+        return endpoint in self._leaving_endpoints
+
     def listen(self, listener: Listener) -> None:
         """Has a function called after each change.
 
@@ -104,6 +116,18 @@
         if newer:
             self._changed()
 
+    def hear_endpoint(self, endpoint: EndpointId, *, leaving: bool) -> None:
+        """Takes over what the platform's list says of an endpoint.
+
+        Args:
+            endpoint: the endpoint.
+            leaving: whether it is about to be taken away.
+        """
+        if leaving:
+            self._leaving_endpoints.add(endpoint)
+        else:
+            self._leaving_endpoints.discard(endpoint)
+
     def hear_neighbours(self, neighbours: Iterable[Neighbour]) -> None:
         """Replaces the VMs that may carry groups.
 
--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/node.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/node.py
@@ -290,6 +290,7 @@
             ask_peers=self._reach.ask_peers,
             ranks=self._placement.ranks,
             count_violation=self._count_violation,
+            is_leaving=self._holdings.is_leaving,
         )
 
     def _record_of(self, group: Group) -> GroupRecord:
--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/peers/feeding.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/peers/feeding.py
@@ -10,10 +10,11 @@
 from cowslipfork.errors import CowslipforkError
 from cowslipfork.groups import GroupRecord, decode_record, encode_record
 from cowslipfork.groups.record import record_key
-from cowslipfork.ids import Revision, SiteName
+from cowslipfork.ids import EndpointId, Revision, SiteName
 from cowslipfork.membership import Member, Members, MemberState
 from cowslipfork.spread import HeldRecord, Holdings, RecordKind, kind_of
-from cowslipfork.spread.record import read_record
+from cowslipfork.spread.record import ENDPOINTS_PREFIX, read_record
+from cowslipfork.wire import records_pb2
 from cowslipfork_proxy.holdings import Holdings as NodeHoldings
 from cowslipfork_proxy.holdings import Neighbour
 
@@ -43,6 +44,8 @@
                 holdings.hear_records((decode_record(record.key, content),))
             elif kind is RecordKind.CONFIGURATION:
                 _put_configuration(record.key, content)
+            elif record.key.startswith(ENDPOINTS_PREFIX):
+                _put_endpoint(record.key, content)
         except CowslipforkError as error:
             log.error('record unusable', extra={'cause': str(error)})
 
@@ -61,6 +64,13 @@
             log.info('configuration in force', extra={'revision': revision})
             in_force(revision)
 
+    def _put_endpoint(key: str, content: bytes) -> None:
+        entry = records_pb2.PlatformEntry.FromString(content)
+        holdings.hear_endpoint(
+            EndpointId(key.removeprefix(ENDPOINTS_PREFIX)),
+            leaving=entry.state == records_pb2.VM_STATE_LEAVING,
+        )
+
     records.watch(put)
 
 
--- /dev/null
+++ b/packages/cowslipfork-proxy/tests/peers/test_feeding_endpoints.py
@@ -0,0 +1,40 @@
+import pytest
+
+from cowslipfork.configuration import Configuration, Site
+from cowslipfork.ids import EndpointId, RegionName, SiteName
+from cowslipfork.spread import Holdings as Records
+from cowslipfork.spread.record import ENDPOINTS_PREFIX, read_record
+from cowslipfork.wire import records_pb2
+from cowslipfork_proxy.holdings import Holdings
+from cowslipfork_proxy.peers.feeding import feed_records
+
+NAME = EndpointId('orders-1')
+LIVE, LEAVING = records_pb2.VM_STATE_LIVE, records_pb2.VM_STATE_LEAVING
+
+
+@pytest.mark.parametrize(
+    ('told', 'leaving'),
+    [
+        ([], False),
+        ([(1, LIVE)], False),
+        ([(1, LIVE), (2, LEAVING)], True),
+        ([(2, LEAVING), (3, LIVE)], False),
+        # News of a lagging relay.
+        ([(2, LEAVING), (1, LIVE)], True),
+        # The platform has dropped the endpoint from its list.
+        ([(2, LEAVING), (3, None)], False),
+    ],
+)
+def test_the_platforms_list_tells_which_endpoints_leave(told, leaving):
+    holdings = Holdings(Configuration(Site(SiteName('s'), RegionName('r'), ())))
+    records = Records(lambda record: None)
+    feed_records(records, holdings, SiteName('s'), lambda revision: None)
+
+    for revision, state in told:
+        content = None
+        if state is not None:
+            entry = records_pb2.PlatformEntry(name=NAME, state=state)
+            content = entry.SerializeToString()
+        records.apply(read_record(ENDPOINTS_PREFIX + NAME, content, revision))
+
+    assert holdings.is_leaving(NAME) is leaving
