--- a/packages/cowslipfork/src/cowslipfork/sessions/marks.py
+++ b/packages/cowslipfork/src/cowslipfork/sessions/marks.py
@@ -1,4 +1,8 @@
-"""Marks that a group's sessions wrote, as far as its carrier remembers."""
+"""Marks that a group's sessions wrote, as far as its carrier remembers.
+
+Nodes do not use it yet: a session known by its id only is read fresh, since
+two nodes may carry a group during a disagreement (docs/design/reads.md).
+"""
 
 from __future__ import annotations
 
