Lab: a replica follows its new primary also when a cancellation was lost

It was told to follow each 0.6 s and never did: its follower task had lost its cancellation in the driver, as the node's fence had. Ruled out: the node (it repeated FOLLOW), the promotion (serving after 0.06 s). The stand-in now ends the task. Test: a driver that loses the cancellation; without the check the test does not end (stopped at 60 s).

--- a/packages/cowslipfork-lab/src/cowslipfork_lab/endpoint/replication.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/endpoint/replication.py
@@ -50,9 +50,17 @@
             await _pull(state, primary, term)
         except (OSError, TimeoutError, MySQLError) as error:
             _log.info('event=replication_broken error=%r', error)
+            _raise_if_cancelled()
         await asyncio.sleep(RETRY_SECONDS)
 
 
+def _raise_if_cancelled() -> None:
+    """Restores a cancellation that the driver lost in a refused connect."""
+    task = asyncio.current_task()
+    if task is not None and task.cancelling():
+        raise asyncio.CancelledError
+
+
 async def _pull(state: EndpointState, primary: str, term: Term) -> None:
     host, _, port = primary.rpartition(':')
     await state.faults.passage(NEWEST_CONNECTION, peer=True)
