--- a/packages/cowslipfork-lab/src/cowslipfork_lab/load/experiment.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/load/experiment.py
@@ -10,11 +10,12 @@
 from typing import Any
 
 import asyncmy
-from asyncmy.errors import MySQLError
+from asyncmy.errors import MySQLError, OperationalError
 
 from cowslipfork.configuration import ReadingRule
 from cowslipfork.errors import CowslipforkError
 from cowslipfork.ids import GroupName, KindName
+from cowslipfork.outcomes import Reason
 from cowslipfork_lab.cluster import Cluster
 from cowslipfork_lab.cluster.cluster import Rows
 from cowslipfork_lab.cluster.plan import LOOPBACK
@@ -33,6 +34,7 @@
 _SETUP_TRIES = 150
 _SETUP_SECONDS = 10.0
 _SETUP_PAUSE_SECONDS = 0.2
+_SLOT_TRIES = 100
 
 
 @dataclass(frozen=True, slots=True)
@@ -216,6 +218,14 @@
 
     async def _select(self, group: GroupName, sql: str) -> Rows:
         primary = await primary_of(self._cluster, group)
+        for _ in range(_SLOT_TRIES):
+            try:
+                return await self._cluster.select(primary, sql)
+            except OperationalError as error:
+                # Requests that were given up may still hold slots.
+                if error.args[0] != Reason.NO_FREE_SLOT.value:
+                    raise
+            await asyncio.sleep(_SETUP_PAUSE_SECONDS)
         return await self._cluster.select(primary, sql)
 
     async def _counts(self) -> dict[str, dict[str, int]]:
