Names that need no explanation; suppressions of rules that are off removed

Read as a newcomer: _rest meant a timer in one module and rows in another, _server_of was about a carrier. Behaviour as before.

--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/carrier/_transactions.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/carrier/_transactions.py
@@ -104,7 +104,7 @@
             return refused or NotRun(Reason.BAD_REQUEST, detail='no id')
         opened = _Open(grant)
         self._open[request.transaction] = opened
-        self._rest(request.transaction, opened)
+        self._start_idle_timer(request.transaction, opened)
         return Done(Answer(endpoint=grant.connection.endpoint))
 
     async def run(
@@ -179,14 +179,14 @@
     ) -> Outcome[Answer]:
         async with self._grants.statement_slot(wanted) as slot:
             if isinstance(slot, NotRun):
-                self._rest(request.transaction, opened)
+                self._start_idle_timer(request.transaction, opened)
                 return slot
             outcome = await self._execute(request, opened)
         if isinstance(outcome, Unknown):
             # Only COMMIT makes anything last, and it was not sent.
             self._lose(request.transaction)
             return NotRun(Reason.TRANSACTION_LOST, detail=outcome.detail)
-        self._rest(request.transaction, opened)
+        self._start_idle_timer(request.transaction, opened)
         return outcome
 
     async def _execute(
@@ -243,7 +243,7 @@
         opened.grant.release()
         return Done(Answer(endpoint=connection.endpoint))
 
-    def _rest(
+    def _start_idle_timer(
         self,
         transaction: TransactionId | None,
         opened: _Open,
--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/carrier/carriers.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/carrier/carriers.py
@@ -137,7 +137,7 @@
         Returns:
             Its outcome; not run if the group is carried elsewhere.
         """
-        item = self._server_of(request)
+        item = self._holder_of(request)
         if item is None:
             return NotRun(
                 Reason.NO_CARRIER,
@@ -152,7 +152,7 @@
         finally:
             item.running -= 1
 
-    def _server_of(self, request: Request) -> _Held | None:
+    def _holder_of(self, request: Request) -> _Held | None:
         item = self._carried.get(request.group)
         former = self._retiring.get(request.group)
         name = request.transaction
--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/endpoints/connection.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/endpoints/connection.py
@@ -205,11 +205,11 @@
             )
         return Answer(
             columns=_columns(cursor),
-            rows=self._rest(cursor, first, timeout),
+            rows=self._remaining_rows(cursor, first, timeout),
             endpoint=self._endpoint,
         )
 
-    async def _rest(
+    async def _remaining_rows(
         self,
         cursor: Any,
         batch: list[Row],
@@ -337,5 +337,5 @@
 def _columns(cursor: Any) -> tuple[Column, ...]:
     return tuple(
         Column(described.name, described.type_code, described.charsetnr)
-        for described in cursor._result.fields  # noqa: SLF001
+        for described in cursor._result.fields
     )
--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/forwarding/servicer.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/forwarding/servicer.py
@@ -31,7 +31,7 @@
         """
         self._run = run
 
-    async def Exchange(  # noqa: N802
+    async def Exchange(
         self,
         request_iterator: AsyncIterator[node_pb2.StatementBatch],
         context: Any,
--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/peers/service.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/peers/service.py
@@ -86,7 +86,7 @@
         self._probe = probe
         self._holding: set[asyncio.Future[None]] = set()
 
-    async def Exchange(  # noqa: N802
+    async def Exchange(
         self,
         request_iterator: AsyncIterator[node_pb2.Heartbeat],
         context: Any,
@@ -110,7 +110,7 @@
         finally:
             stream.deliver(None)
 
-    async def Fetch(  # noqa: N802
+    async def Fetch(
         self,
         request: node_pb2.FetchRequest,
         context: Any,
@@ -126,7 +126,7 @@
         """
         return self._answer(request)
 
-    async def Probe(  # noqa: N802
+    async def Probe(
         self,
         request: node_pb2.ProbeRequest,
         context: Any,
--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/routing.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/routing.py
@@ -77,7 +77,7 @@
     ) -> Outcome[Answer]:
         loop = asyncio.get_running_loop()
         while _may_pass(outcome, request):
-            pause = _PAUSE * (1 + random.random())  # noqa: S311
+            pause = _PAUSE * (1 + random.random())
             if loop.time() + pause >= request.deadline:
                 break
             await asyncio.sleep(pause)
