--- a/packages/cowslipfork-lab/src/cowslipfork_lab/load/command.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/load/command.py
@@ -36,7 +36,7 @@
     nodes: _Nodes = 5,
     fault: Annotated[
         list[str] | None,
-        typer.Option(help='name@second or name@second+length; repeatable.'),
+        typer.Option(help='name[#node]@second[+length]; repeatable.'),
     ] = None,
     baseline: Annotated[Baseline, typer.Option()] = Baseline.PROXY,
     service_ms: Annotated[float, typer.Option(help='Of a statement.')] = 0,
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/load/schedule.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/load/schedule.py
@@ -20,7 +20,7 @@
 _SHORTEST_SECONDS = 0.5
 _LONGEST_SECONDS = 5.0
 _MEAN_PAUSE_SECONDS = 3.0
-_FORM = re.compile(r'([\w-]+)@([\d.]+)(?:\+([\d.]+))?')
+_FORM = re.compile(r'([\w-]+)(?:#(\d+))?@([\d.]+)(?:\+([\d.]+))?')
 
 _log = logging.getLogger(__name__)
 
@@ -56,7 +56,7 @@
 
 
 def read_fault(text: str, group: GroupName) -> ScheduledFault:
-    """Reads ``name@second`` or ``name@second+length``.
+    """Reads ``name@second``, ``name@second+length``, ``name#node@second``.
 
     Args:
         text: as written on the command line.
@@ -71,10 +71,11 @@
     match = _FORM.fullmatch(text)
     if match is None:
         raise BadFault(text)
-    name, at, seconds = match.groups()
+    name, node, at, seconds = match.groups()
     fault_named(name)
     length = float(seconds) if seconds else None
-    return ScheduledFault(name, float(at), length, Target(group))
+    target = Target(group, int(node or 0))
+    return ScheduledFault(name, float(at), length, target)
 
 
 def random_faults(
--- a/packages/cowslipfork-lab/tests/load/test_load.py
+++ b/packages/cowslipfork-lab/tests/load/test_load.py
@@ -114,6 +114,11 @@
     assert (fault.at, fault.seconds) == (at, seconds)
 
 
+def test_a_fault_names_the_node_that_it_hits():
+    assert read_fault('stop-node@4', 'g').target.node == 0
+    assert read_fault('stop-node#3@4+1.5', 'g').target.node == 3
+
+
 @pytest.mark.parametrize('text', ['kill-primary', 'kill-primary@x', '@4'])
 def test_faults_written_otherwise_are_refused(text):
     with pytest.raises(BadFault):
