Metrics of what is measured: reads by who served them, failover gaps

Carriers count reads done at a replica or the primary, and time from the first write held for want of a primary (over 1 ms) to the next acknowledged one. Weighed: the gap from the supervision's state changes (says nothing of callers).

--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/carrier/__init__.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/carrier/__init__.py
@@ -2,6 +2,14 @@
 
 from cowslipfork_proxy.carrier.carriers import Carried, Carriers
 from cowslipfork_proxy.carrier.carrying import CarryingParts, carry
+from cowslipfork_proxy.carrier.figures import Figures
 from cowslipfork_proxy.carrier.group_carrier import GroupCarrier
 
-__all__ = ('Carried', 'Carriers', 'CarryingParts', 'GroupCarrier', 'carry')
+__all__ = (
+    'Carried',
+    'Carriers',
+    'CarryingParts',
+    'Figures',
+    'GroupCarrier',
+    'carry',
+)
--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/carrier/assembly.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/carrier/assembly.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 from typing import Final
 
@@ -10,6 +11,7 @@
 from cowslipfork.ids import EndpointId
 from cowslipfork.limits import SlotQueue
 from cowslipfork_proxy.carrier._grants import Grants
+from cowslipfork_proxy.carrier.figures import Figures
 from cowslipfork_proxy.carrier.group_carrier import GroupCarrier
 from cowslipfork_proxy.endpoints import Login, MysqlControl, Pool
 
@@ -29,9 +31,9 @@
     record: GroupRecord,
     configuration: Callable[[], Configuration],
     login: Login,
-    now: Callable[[], float],
     count_violation: Callable[[Violation], None],
     is_leaving: Callable[[EndpointId], bool],
+    figures: Figures,
 ) -> GroupCarrier:
     """Wires pools, controls, queue and tracker of a group.
 
@@ -40,9 +42,9 @@
         record: its record as last heard.
         configuration: gives the configuration in force.
         login: how to log in to endpoints.
-        now: the loop's clock in seconds.
         count_violation: counts broken invariants.
         is_leaving: tells whether the platform takes an endpoint away.
+        figures: counts reads, times gaps.
 
     Returns:
         The carrier; its tracker does not run yet.
@@ -57,7 +59,7 @@
             for name, endpoint in endpoints.items()
         },
         configuration().failover,
-        now,
+        asyncio.get_running_loop().time,
         count_violation,
     )
     queue = SlotQueue(
@@ -68,7 +70,9 @@
         for name, endpoint in endpoints.items()
     }
     grants = Grants(queue, pools, _CONNECT_TIMEOUT)
-    return GroupCarrier(group, configuration, tracker, grants, Health())
+    return GroupCarrier(
+        group, configuration, tracker, grants, Health(), figures
+    )
 
 
 def pool_limit(endpoint: Endpoint) -> int:
--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/carrier/carrying.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/carrier/carrying.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from functools import partial
@@ -22,6 +21,7 @@
 from cowslipfork.store import Store
 from cowslipfork_proxy.carrier.assembly import assemble
 from cowslipfork_proxy.carrier.carriers import Carried
+from cowslipfork_proxy.carrier.figures import Figures
 from cowslipfork_proxy.carrier.term_start import term_starter
 from cowslipfork_proxy.endpoints import Login
 
@@ -41,6 +41,7 @@
         ranks: gives the VMs of a group, its carrier first.
         count_violation: counts broken invariants of a group.
         is_leaving: tells whether the platform takes an endpoint away.
+        figures: counts reads, times gaps.
     """
 
     vm: VmId
@@ -54,6 +55,7 @@
     ranks: Callable[[GroupName], Sequence[VmId]]
     count_violation: Callable[[GroupName, Violation], None]
     is_leaving: Callable[[EndpointId], bool]
+    figures: Figures
 
 
 def carry(parts: CarryingParts, name: GroupName) -> Carried | None:
@@ -75,9 +77,9 @@
         parts.record_of(group),
         parts.configuration,
         parts.login,
-        asyncio.get_running_loop().time,
         partial(parts.count_violation, name),
         parts.is_leaving,
+        parts.figures,
     )
     tracker = carrier.tracker
     endpoints = {
--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/carrier/group_carrier.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/carrier/group_carrier.py
@@ -38,10 +38,14 @@
 from cowslipfork_proxy.carrier._reads import Read, run_read
 from cowslipfork_proxy.carrier._transactions import Transactions
 from cowslipfork_proxy.carrier._writes import remaining, run_write
+from cowslipfork_proxy.carrier.figures import Figures, ServedBy
 
 #: Seconds between looks at whether a held request is still worth holding.
 _LOOK: Final = 0.1
 
+#: Seconds of waiting for a primary from which on it counts as a gap.
+_NOTICEABLE: Final = 0.001
+
 #: Kind of requests that name none: fresh reads, no jobs.
 SAFEST_KIND: Final = Kind(
     KindName('default'),
@@ -68,6 +72,7 @@
         tracker: Tracker,
         grants: Grants,
         health: Health,
+        figures: Figures,
     ) -> None:
         """Wires the parts of a group.
 
@@ -77,12 +82,15 @@
             tracker: what is known of its endpoints.
             grants: slots and connections of its endpoints.
             health: how the group fares, told by its supervision.
+            figures: counts reads, times gaps.
         """
         self._group = group
         self._configuration = configuration
         self._tracker = tracker
         self._grants = grants
         self._health = health
+        self._figures = figures
+        self._gap = figures.new_clock()
         self._held = 0
         self._table = JobTable()
         self._retries = RetryBudget(configuration().limits.retry_share)
@@ -198,7 +206,13 @@
             self._configuration().limits.hold,
         )
         attempt = partial(run_read, read, self._tracker, self._grants)
-        return await self._again(request, attempt, _at_once)
+        outcome = await self._again(request, attempt, _at_once)
+        if isinstance(outcome, Done):
+            at_primary = outcome.answer.endpoint == self._tracker.record.primary
+            self._figures.count_read(
+                ServedBy.PRIMARY if at_primary else ServedBy.REPLICA,
+            )
+        return outcome
 
     async def _write(self, request: Request, kind: Kind) -> Outcome[Answer]:
         refused = _write_refusal(request, kind)
@@ -280,7 +294,11 @@
                 refused = write_refusal(self._health.condition)
                 if refused is not None:
                     return refused
-                if await proved(min(request.deadline, loop.time() + _LOOK)):
+                begun = loop.time()
+                there = await proved(min(request.deadline, begun + _LOOK))
+                if loop.time() > begun + _NOTICEABLE:
+                    self._gap.held(begun)
+                if there:
                     return None
         finally:
             self._held -= 1
@@ -308,7 +326,10 @@
 
     async def _acknowledged(self, term: Term, deadline: float) -> Mark | None:
         found = await self._tracker.acknowledged(term, deadline)
-        return found.ok if found.is_ok() else None
+        if found.is_error():
+            return None
+        self._gap.acknowledged(asyncio.get_running_loop().time())
+        return found.ok
 
     def _session_mark(self, request: Request) -> Mark | None:
         """Gives what the session wrote here; None makes its reads fresh."""
--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/node.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/node.py
@@ -46,7 +46,12 @@
     reload_on_hangup,
     serve_callers,
 )
-from cowslipfork_proxy.carrier import Carriers, CarryingParts, carry
+from cowslipfork_proxy.carrier import (
+    Carriers,
+    CarryingParts,
+    Figures,
+    carry,
+)
 from cowslipfork_proxy.endpoints import Login
 from cowslipfork_proxy.forwarding import CarrierService
 from cowslipfork_proxy.holdings import Holdings
@@ -102,6 +107,14 @@
             'operation',
             lambda: dict(store_calls),
         )
+        gaps = self._meter.create_histogram('failover_gap_seconds')
+        self._figures = Figures(gaps.record)
+        metrics.counters(
+            self._meter,
+            'reads',
+            'served_by',
+            self._figures.reads,
+        )
         self._violations = self._meter.create_counter('invariant_violations')
         self._holdings = Holdings(_empty(settings))
         self._login = Login()
@@ -291,6 +304,7 @@
             ranks=self._placement.ranks,
             count_violation=self._count_violation,
             is_leaving=self._holdings.is_leaving,
+            figures=self._figures,
         )
 
     def _record_of(self, group: Group) -> GroupRecord:
