make mutants bounds the tests of a mutant

A last whole run did not end in 300 s: with 'an old report of a VM is refused' off, newer tests of the fleet repeat for ever. Tests that do not end within 90 s count as having noticed. Ran: the four mutants of fleet, spread and hand-over one by one, all caught; the whole list was not run again after this change.

--- a/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/run.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/run.py
@@ -30,6 +30,9 @@
 )
 _TESTS_FAILED: Final = 1
 
+#: Seconds after which tests without a mechanism count as failed.
+_LONGEST_SECONDS: Final = 90
+
 
 class MutantOutdated(CowslipforkError):
     """The text that a mutant replaces does not occur just once."""
@@ -118,7 +121,13 @@
         stdout=asyncio.subprocess.PIPE,
         stderr=asyncio.subprocess.STDOUT,
     )
-    output, _ = await process.communicate()
+    try:
+        async with asyncio.timeout(_LONGEST_SECONDS):
+            output, _ = await process.communicate()
+    except TimeoutError:
+        process.kill()
+        await process.wait()
+        return ['tests that did not end']
     if process.returncode != _TESTS_FAILED:
         return []
     return [
