A cancelled job or transaction gives its slot and connection back

Found on the last read of the change: when an entry gave a request up, the carrier cancelled it; a job, BEGIN, COMMIT or ROLLBACK cancelled mid-way never released its grant, so that a slot of the primary and a connection were lost until the carrier was rebuilt. Plain writes and reads had a finally, these four did not. Ruled out: the queue and the pool, which return what a cancelled wait holds.

--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/carrier/_jobs.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/carrier/_jobs.py
@@ -86,8 +86,10 @@
     Returns:
         The job's own outcome, also for a repeat.
     """
-    result = await _attempt(request, grant.connection, table)
-    grant.release()
+    try:
+        result = await _attempt(request, grant.connection, table)
+    finally:
+        grant.release()
     if not isinstance(result, Answer):
         return result
     # Also a repeat waits: the first attempt may have committed without
--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/carrier/_transactions.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/carrier/_transactions.py
@@ -92,15 +92,19 @@
             Done; or why no transaction is open.
         """
         refused: NotRun | Refused | None
+        begun = False
         try:
             refused = await self._begin(request, grant)
+            begun = refused is None and request.transaction is not None
         except EndpointRefused as error:
             grant.connection.close()
             refused = refusal(error)
         except ConnectionBroken as broken:
             refused = NotRun(Reason.CONNECTION_LOST, detail=broken.cause)
+        finally:
+            if not begun:
+                grant.release()
         if refused is not None or request.transaction is None:
-            grant.release()
             return refused or NotRun(Reason.BAD_REQUEST, detail='no id')
         opened = _Open(grant)
         self._open[request.transaction] = opened
@@ -219,10 +223,12 @@
         self._open.pop(request.transaction or TransactionId(''), None)
         connection = opened.grant.connection
         figures = Answer(endpoint=connection.endpoint)
-        result = await commit(request, connection, figures)
-        if not isinstance(result, Answer):
-            connection.close()
-        opened.grant.release()
+        try:
+            result = await commit(request, connection, figures)
+            if not isinstance(result, Answer):
+                connection.close()
+        finally:
+            opened.grant.release()
         if not isinstance(result, Answer):
             return result
         if not opened.wrote:
@@ -240,7 +246,8 @@
             await connection.command('ROLLBACK', remaining(request))
         except (EndpointRefused, ConnectionBroken):
             connection.close()
-        opened.grant.release()
+        finally:
+            opened.grant.release()
         return Done(Answer(endpoint=connection.endpoint))
 
     def _start_idle_timer(
