--- a/packages/cowslipfork-direct/src/cowslipfork_direct/endpoint.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/endpoint.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from collections import deque
 from collections.abc import Callable, Mapping, Sequence
 from typing import Final
@@ -27,8 +28,8 @@
 #: Seconds for opening a connection.
 CONNECT_TIMEOUT: Final = 0.6
 
-#: Seconds without an answer after which it is asked whether the machine is
-#: there at all.
+#: Least seconds without an answer after which it is asked whether the machine
+#: is there at all; more for one that usually takes longer.
 DOUBT_AFTER: Final = 0.1
 
 #: Seconds for which an endpoint that lacked a log entry is not asked again
@@ -41,7 +42,7 @@
 
 #: Seconds for which no further connection is opened to an endpoint that had
 #: no room: it drops those of dead machines after 3 s.
-FULL_PAUSE: Final = 0.3
+FULL_PAUSE: Final = 0.6
 
 
 class Endpoint:
@@ -195,7 +196,7 @@
 
         If it takes long, the machine is asked whether it is there.
         """
-        return _Expecting(self.doubt)
+        return _Expecting(max(DOUBT_AFTER, self._pace.patience), self.doubt)
 
     def take_back(self, pooled: PooledLink, *, usable: bool) -> None:
         """Takes a lent connection back.
@@ -247,9 +248,10 @@
 
     def _note_full(self) -> None:
         """Has it left alone for a moment, and asked again after it."""
-        self._full_until = boot_time() + FULL_PAUSE
+        pause = random.uniform(FULL_PAUSE / 2, FULL_PAUSE)
+        self._full_until = boot_time() + pause
         loop = asyncio.get_running_loop()
-        loop.call_later(FULL_PAUSE, self._room_again, self.id)
+        loop.call_later(pause, self._room_again, self.id)
 
     async def _open(self) -> PooledLink:
         target = self.listed.target
@@ -281,12 +283,13 @@
 class _Expecting:
     """Raises a doubt when its block lasts long."""
 
-    def __init__(self, doubt: Callable[[], None]) -> None:
+    def __init__(self, patience: float, doubt: Callable[[], None]) -> None:
+        self._patience = patience
         self._doubt = doubt
 
     def __enter__(self) -> None:
         loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(DOUBT_AFTER, self._doubt)
+        self._timer = loop.call_later(self._patience, self._doubt)
 
     def __exit__(self, *_: object) -> None:
         self._timer.cancel()
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/health.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/health.py
@@ -6,13 +6,13 @@
 from typing import Final
 
 #: Seconds in which the weight of an answer falls to half.
-HALF_LIFE: Final = 1.0
+HALF_LIFE: Final = 3.0
 
 #: Weight of an answer that took longer than usual, against a failure.
 SLOW_WEIGHT: Final = 0.5
 
 #: Failures, newer ones counting more, from which an endpoint may be ill.
-LEAST_FAILURES: Final = 2.0
+LEAST_FAILURES: Final = 1.5
 
 #: Share of failures from which it is.
 ILL_SHARE: Final = 0.3
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/loan.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/loan.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable, Mapping
+from functools import partial
 from typing import Final
 
 from cowslipfork.limits import Place, Shed
@@ -24,6 +25,9 @@
 #: A question to an endpoint that it answers with its status.
 Control = Callable[[Link], Awaitable[EndpointStatus | None]]
 
+#: Seconds for which an endpoint may count a connection that was closed while
+#: it owed an answer.
+LINGER: Final = 0.5
 
 #: Codes with which an endpoint fails at its work.
 _FAILURES: Final = frozenset((Code.FAILED, Code.TIMED_OUT))
@@ -198,7 +202,16 @@
         usable = self._usable and not self._transaction_open
         self._endpoint.take_back(self._pooled, usable=usable)
         seconds = boot_time() - self._begun
-        self._group.queue.leave(self._endpoint.id, seconds)
+        leave = partial(
+            self._group.queue.leave,
+            self._endpoint.id,
+            seconds,
+        )
+        if self._usable or self._endpoint.silent_since is not None:
+            leave()
+        else:
+            # The endpoint counts the connection until its work is done.
+            asyncio.get_running_loop().call_later(LINGER, leave)
 
     def __enter__(self) -> Loan:
         """Starts a block at whose end the loan ends."""
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/pace.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/pace.py
@@ -14,7 +14,7 @@
 
 #: Bounds of the patience, in seconds.
 LEAST_PATIENCE: Final = 0.08
-FIRST_PATIENCE: Final = 0.3
+FIRST_PATIENCE: Final = 0.15
 
 
 class Pace:
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/reachability.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/reachability.py
@@ -28,6 +28,10 @@
 RETURN_PAUSE: Final = 0.25
 
 
+#: Seconds for which a machine that answered is not doubted.
+SURE_FOR: Final = 0.5
+
+
 class Reachability:
     """The way to one machine."""
 
@@ -54,6 +58,7 @@
         self._doubted = asyncio.Event()
         self._via: Address | None = None
         self._silent_since: float | None = None
+        self._sure_until: float = 0
 
     @property
     def via(self) -> Address | None:
@@ -66,8 +71,13 @@
         return self._silent_since
 
     def doubt(self) -> None:
-        """Has it checked whether the machine answers."""
-        self._doubted.set()
+        """Has it checked whether the machine answers.
+
+        A machine that answered a moment ago is not asked again: under load
+        many answers take long, and each question takes a connection.
+        """
+        if boot_time() >= self._sure_until:
+            self._doubted.set()
 
     async def watch(self) -> None:
         """Checks when that is in doubt, and again while all is not well."""
@@ -75,6 +85,8 @@
             await self._next_check()
             self._doubted.clear()
             found, via = await self._find_way()
+            if found:
+                self._sure_until = boot_time() + SURE_FOR
             self._go(via, silent=not found)
 
     async def _next_check(self) -> None:
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/reading.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/reading.py
@@ -64,19 +64,20 @@
         for endpoint in group.endpoints.values()
         if endpoint.id not in avoided and _takes_reads(endpoint, floor)
     ]
+    well = [endpoint for endpoint in able if not endpoint.health.ill]
 
-    def cost(endpoint: Endpoint) -> tuple[int, int, bool, bool, int]:
+    def cost(endpoint: Endpoint) -> tuple[bool, int, bool, bool, int]:
         leads = group.leads(endpoint.id)
         elsewhere = not leads and not group.follows(endpoint.id)
         return (
-            2 * endpoint.health.ill + elsewhere,
+            elsewhere,
             endpoint.in_use // NEAR_LOAD,
             leads,
             endpoint.listed.failure_domain != here,
             endpoint.in_use,
         )
 
-    return [endpoint.id for endpoint in sorted(able, key=cost)]
+    return [endpoint.id for endpoint in sorted(well or able, key=cost)]
 
 
 def _takes_reads(endpoint: Endpoint, floor: Mark | None) -> bool:
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/single.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/single.py
@@ -33,6 +33,9 @@
 #: end in doubt.
 LEAST_TIME: Final = 0.1
 
+#: Seconds that every statement may wait for a connection.
+LEAST_WAIT: Final = 0.1
+
 #: Seconds between two looks whether a read has found a connection.
 UNSENT_LOOK: Final = 0.1
 
@@ -115,6 +118,8 @@
         if not any(self._candidates()):
             self._avoided.clear()
             await asyncio.sleep(next(self._pauses))
+            if not self._in_time():
+                return
         if tried.free or self._work.service.budget.may_retry():
             self._start()
 
@@ -182,8 +187,7 @@
 
     def _wait_until(self) -> float:
         """Loop time up to which a try waits for a connection."""
-        last = self._work.deadline - LEAST_TIME
-        return min(last, self._group.worth_waiting_until())
+        return wait_until(self._work)
 
     def _candidates(self) -> Iterable[EndpointId]:
         work = self._work
@@ -202,6 +206,24 @@
                 task.add_done_callback(_end_in_background)
 
 
+def wait_until(work: Work) -> float:
+    """Gives the loop time up to which a statement waits for a connection.
+
+    While the primary changes it may wait to its deadline; under load not
+    longer than its goal, since an answer after that is worth little and the
+    caller may find another node.
+
+    Args:
+        work: the statement.
+    """
+    group = work.service.group
+    now = asyncio.get_running_loop().time()
+    last = min(work.deadline - LEAST_TIME, group.worth_waiting_until())
+    if group.accepting is None:
+        return last
+    return min(last, now + max(work.route.goal, LEAST_WAIT))
+
+
 def retry_pauses() -> Iterator[float]:
     """Yields pauses before the same endpoints are tried again, in seconds."""
     for doublings in itertools.count():
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/transaction.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/transaction.py
@@ -28,7 +28,7 @@
 )
 from cowslipfork_direct.loan import Loan, borrow
 from cowslipfork_direct.reading import floor_of, leader_only, readers
-from cowslipfork_direct.single import LEAST_TIME, retry_pauses
+from cowslipfork_direct.single import LEAST_TIME, retry_pauses, wait_until
 from cowslipfork_direct.statements import Verb
 from cowslipfork_direct.work import Work
 
@@ -268,7 +268,7 @@
         place = Place(
             work.request_class,
             lambda: self._candidates(work, avoided),
-            min(work.deadline - LEAST_TIME, group.worth_waiting_until()),
+            wait_until(work),
         )
         loan = await borrow(group, place, work.values)
         if isinstance(loan, Shed):
