A fault soak of the platform's node: real processes, faults from outside

Nodes run as processes; servers, store and platform are the stand-ins beside them, behind a loopback proxy that delays, silences (one way or both), resets and darkens; nodes are stopped, killed, paused and restarted by signals, settings and configurations change, the store refuses, loses answers and forgets its history. Checked from what callers and servers see: answers, sessions, transactions, twice, refused, two primaries, fences, staleness; with planned work only also that nothing is cut short or lost; that every node serves every database again afterwards. The lab's random load on the MySQL node stays as a command; make soak plays the platform's.

--- a/Makefile
+++ b/Makefile
@@ -42,10 +42,13 @@
 	$(BIN)/cowslipfork-lab mutants
 
 SEED ?= 1
+SEEDS ?= 10
+SECONDS ?= 20
+SOAK_PATH := platform/tests/soak:platform/tests/fakes:packages/cowslipfork/tests/fakes:packages/cowslipfork-direct/tests/fakes
 
 soak: $(READY)
-	$(BIN)/cowslipfork-lab soak samples/hilal --seed $(SEED)
-	$(BIN)/cowslipfork-lab soak samples/nilebean --seed $(SEED)
+	PYTHONPATH=$(SOAK_PATH) $(BIN)/python -m soaking $(SEED) $(SEEDS) $(SECONDS)
+	PROMISES=60 PROMISES_FROM=$(SEED) $(BIN)/python -m pytest packages/cowslipfork-direct/tests/test_promises.py
 	COWSLIPFORK_SOAK=120 COWSLIPFORK_SEED=$(SEED) $(BIN)/python -m pytest -s packages/cowslipfork/tests/groups/test_promises.py
 	SOAK=20 $(BIN)/python -m pytest --hypothesis-seed=$(SEED) packages/cowslipfork/tests/configuration/test_accept_machine.py
 
--- a/packages/cowslipfork-direct/tests/fakes/direct_fakes/servers.py
+++ b/packages/cowslipfork-direct/tests/fakes/direct_fakes/servers.py
@@ -132,7 +132,7 @@
 class Database:
     """The servers of one group."""
 
-    def __init__(self, name='g', size=3):
+    def __init__(self, name='g', size=3, first=1):
         self.name = GroupName(name)
         self.servers = {
             EndpointId(f'e{number}'): Server(
@@ -140,15 +140,16 @@
                 self.name,
                 FailureDomain('abc'[(number - 1) % 3]),
             )
-            for number in range(1, size + 1)
+            for number in range(first, first + size)
         }
-        self.servers[EndpointId('e1')].role = EndpointRole.PRIMARY
+        primary = EndpointId(f'e{first}')
+        self.servers[primary].role = EndpointRole.PRIMARY
         #: Seconds from an order to its effect.
         self.promotion = 0.6
         #: Pairs of servers that can't reach one another.
         self.cut = set()
         #: Terms with their primaries and the loop time of their begin.
-        self.reigns = [(1, EndpointId('e1'), 0.0)]
+        self.reigns = [(1, primary, 0.0)]
 
     @property
     def primary(self):
@@ -355,7 +356,8 @@
         if server.lose_answers:
             server.lose_answers -= 1
             return None
-        return self._reply(Code.DONE, f'signed {server.name} {statement.id}')
+        signature = f'signed {server.name} {statement.id}'
+        return self._reply(Code.DONE, signature, item_of(statement.text))
 
     def _take(self, statement, writes):
         if statement.verb is Verb.COMMIT:
@@ -370,11 +372,12 @@
     def _leads(self):
         return self._server.role is EndpointRole.PRIMARY
 
-    def _reply(self, code, signature=None):
+    def _reply(self, code, signature=None, item='all'):
         rows = tuple(
             write
             for commit in self._server.log[: self._server.applied]
             for write in commit.writes
+            if item in {'all', item_of(write)}
         )
         return EndpointReply(
             code,
@@ -385,3 +388,10 @@
             transaction_open=self._writes is not None,
             transaction_failed=self._failed,
         )
+
+
+def item_of(text):
+    """Gives the item that a statement names; ``all`` reads every item."""
+    words = text.split(' ')
+    place = 2 if words[0] == 'EXEC' else 1
+    return words[place] if len(words) > place else 'all'
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/relay/relay.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/relay/relay.py
@@ -3,16 +3,21 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
+import socket
+from contextlib import suppress
+from dataclasses import dataclass, field
 from typing import Any
 
 from cowslipfork_lab.relay.owners import owner_of
-from cowslipfork_lab.relay.rules import Passage, Rules
+from cowslipfork_lab.relay.rules import ANY, Passage, Rules
 
 _HOST = '127.0.0.1'
 _CHUNK_BYTES = 65536
 _CHUNKS_IN_FLIGHT = 256
 
+#: Connections that fill a queue of length 0.
+_QUEUE_FILLERS = 2
+
 
 @dataclass(frozen=True, slots=True)
 class _Direction:
@@ -20,6 +25,23 @@
     destination: str
 
 
+@dataclass(slots=True)
+class _Listener:
+    """A port before a process.
+
+    Attributes:
+        port: port of the listener.
+        target: port of the process.
+        server: accepts connections; None while the port is dark.
+        unanswering: sockets that keep the port from answering meanwhile.
+    """
+
+    port: int
+    target: int
+    server: asyncio.Server | None = None
+    unanswering: list[socket.socket] = field(default_factory=list)
+
+
 class Relay:
     """Stands before any number of processes."""
 
@@ -27,8 +49,10 @@
         """Starts without listeners."""
         self.rules = Rules()
         self._names: dict[int, str] = {}
-        self._servers: list[asyncio.Server] = []
+        self._listeners: dict[str, _Listener] = {}
         self._tasks: set[asyncio.Task[Any]] = set()
+        self._open: dict[asyncio.StreamWriter, _Direction] = {}
+        self._hushed: set[asyncio.StreamWriter] = set()
 
     def know(self, pid: int, name: str) -> None:
         """Names a process, so that rules find its connections."""
@@ -46,25 +70,85 @@
             Port of the listener.
         """
 
+        listener = _Listener(port, target)
+        self._listeners[name] = listener
+        await self.lighten(name)
+        return listener.port
+
+    def darken(self, name: str) -> None:
+        """Has nobody answer before a process, as if its machine were gone.
+
+        New connections neither open nor are refused; open ones stay, to be
+        silenced by a rule.
+        """
+        listener = self._listeners[name]
+        if listener.server is not None:
+            listener.server.close()
+            listener.server = None
+            listener.unanswering = _unanswering(listener.port)
+
+    def reset(self, source: str, destination: str) -> None:
+        """Breaks open connections of a process to another one.
+
+        Args:
+            source: process that opened them; ``ANY`` for all.
+            destination: process that they lead to; ``ANY`` for all.
+        """
+        for writer in self._between(source, destination):
+            writer.transport.abort()
+
+    def hush(self, source: str, destination: str) -> None:
+        """Has open connections of a process fall silent for good.
+
+        Args:
+            source: process that opened them; ``ANY`` for all.
+            destination: process that they lead to; ``ANY`` for all.
+        """
+        self._hushed.update(self._between(source, destination))
+
+    async def lighten(self, name: str) -> None:
+        """Accepts connections before a process, at first or again."""
+        listener = self._listeners[name]
+        if listener.server is not None:
+            return
+
         async def serve(
             reader: asyncio.StreamReader,
             writer: asyncio.StreamWriter,
         ) -> None:
-            await self._serve(name, target, reader, writer)
+            await self._serve(name, listener.target, reader, writer)
 
-        server = await asyncio.start_server(serve, _HOST, port)
-        self._servers.append(server)
-        listener = server.sockets[0]
-        return listener.getsockname()[1]
+        for waiting in listener.unanswering:
+            waiting.close()
+        listener.unanswering = []
+        server = await asyncio.start_server(serve, _HOST, listener.port)
+        listener.server = server
+        listener.port = server.sockets[0].getsockname()[1]
 
     async def close(self) -> None:
         """Ends every listener and connection."""
-        for server in self._servers:
-            server.close()
+        for listener in self._listeners.values():
+            if listener.server is not None:
+                listener.server.close()
+            for waiting in listener.unanswering:
+                waiting.close()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
+    def _between(
+        self,
+        source: str,
+        destination: str,
+    ) -> list[asyncio.StreamWriter]:
+        """Gives open connections, each by its opener's end."""
+        return [
+            writer
+            for writer, direction in self._open.items()
+            if source in {ANY, direction.source}
+            and destination in {ANY, direction.destination}
+        ]
+
     async def _serve(
         self,
         name: str,
@@ -73,7 +157,8 @@
         writer: asyncio.StreamWriter,
     ) -> None:
         port = writer.get_extra_info('peername')[1]
-        source = owner_of(port, self._names)
+        listener = self._listeners[name].port
+        source = owner_of(port, listener, self._names)
         there = _Direction(source, name)
         back = _Direction(name, source)
         try:
@@ -83,9 +168,10 @@
                 _HOST,
                 target,
             )
+            self._open[writer] = there
             pumps = [
-                self._start(self._pump(there, reader, far_writer)),
-                self._start(self._pump(back, far_reader, writer)),
+                self._start(self._pump(writer, there, reader, far_writer)),
+                self._start(self._pump(writer, back, far_reader, writer)),
             ]
             await asyncio.wait(pumps, return_when=asyncio.FIRST_COMPLETED)
             for pump in pumps:
@@ -94,6 +180,8 @@
         except OSError:
             return
         finally:
+            self._open.pop(writer, None)
+            self._hushed.discard(writer)
             writer.close()
 
     async def _admits(self, direction: _Direction) -> bool:
@@ -102,6 +190,7 @@
 
     async def _pump(
         self,
+        connection: asyncio.StreamWriter,
         direction: _Direction,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
@@ -111,7 +200,7 @@
         )
         reading = self._start(_read(reader, chunks))
         try:
-            await self._deliver(direction, chunks, writer)
+            await self._deliver(connection, direction, chunks, writer)
         except OSError:
             return
         finally:
@@ -119,6 +208,7 @@
 
     async def _deliver(
         self,
+        connection: asyncio.StreamWriter,
         direction: _Direction,
         chunks: asyncio.Queue[tuple[float, bytes]],
         writer: asyncio.StreamWriter,
@@ -126,6 +216,8 @@
         clock = asyncio.get_running_loop()
         while True:
             sent_at, chunk = await chunks.get()
+            if connection in self._hushed:
+                continue
             rule = await self.rules.passage(
                 direction.source,
                 direction.destination,
@@ -145,6 +237,20 @@
         return task
 
 
+def _unanswering(port: int) -> list[socket.socket]:
+    """Opens a port whose queue of connections is full for good."""
+    full = socket.socket()
+    full.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    full.bind((_HOST, port))
+    full.listen(0)
+    fillers = [socket.socket() for _ in range(_QUEUE_FILLERS)]
+    for filler in fillers:
+        filler.setblocking(False)
+        with suppress(BlockingIOError):
+            filler.connect((_HOST, port))
+    return [full, *fillers]
+
+
 async def _read(
     reader: asyncio.StreamReader,
     chunks: asyncio.Queue[tuple[float, bytes]],
--- a/packages/cowslipfork-lab/tests/relay/test_relay.py
+++ b/packages/cowslipfork-lab/tests/relay/test_relay.py
@@ -96,4 +96,47 @@
 
 
 async def test_connections_of_strangers_have_a_name():
-    assert owner_of(1, {os.getpid(): 'me'}) == STRANGER
+    assert owner_of(1, 1, {os.getpid(): 'me'}) == STRANGER
+
+
+async def test_a_dark_listener_neither_answers_nor_refuses():
+    async with echo_behind_relay() as (relay, port):
+        relay.darken('echo')
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(0.2):
+                await asyncio.open_connection('127.0.0.1', port)
+        await relay.lighten('echo')
+        reader, writer = await asyncio.open_connection('127.0.0.1', port)
+        writer.write(b'again\n')
+        assert await reader.readline() == b'again\n'
+        writer.close()
+
+
+async def test_open_connections_are_reset():
+    async with echo_behind_relay() as (relay, port):
+        reader, writer = await asyncio.open_connection('127.0.0.1', port)
+        writer.write(b'one\n')
+        assert await reader.readline() == b'one\n'
+        relay.reset('me', 'echo')
+        assert await reader.read() == b''
+        writer.close()
+
+
+async def test_hushed_connections_stay_silent_while_new_ones_work():
+    async with echo_behind_relay() as (relay, port):
+        old_reader, old_writer = await asyncio.open_connection(
+            '127.0.0.1',
+            port,
+        )
+        old_writer.write(b'one\n')
+        assert await old_reader.readline() == b'one\n'
+        relay.hush(ANY, 'echo')
+        old_writer.write(b'two\n')
+        reader, writer = await asyncio.open_connection('127.0.0.1', port)
+        writer.write(b'three\n')
+        assert await reader.readline() == b'three\n'
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(0.1):
+                await old_reader.readline()
+        writer.close()
+        old_writer.close()
