--- a/packages/cowslipfork-lab/src/cowslipfork_lab/relay/relay.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/relay/relay.py
@@ -180,9 +180,12 @@
         except OSError:
             return
         finally:
-            self._open.pop(writer, None)
-            self._hushed.discard(writer)
-            writer.close()
+            self._close(writer)
+
+    def _close(self, writer: asyncio.StreamWriter) -> None:
+        self._open.pop(writer, None)
+        self._hushed.discard(writer)
+        writer.close()
 
     async def _admits(self, direction: _Direction) -> bool:
         rule = await self.rules.passage(direction.source, direction.destination)
