--- a/packages/cowslipfork-lab/src/cowslipfork_lab/relay/owners.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/relay/owners.py
@@ -42,7 +42,9 @@
     """
     inode = f'socket:[{_inode(port, listener)}]'
     # The newest processes come last, and are the likeliest to be alive.
-    owners = (names[pid] for pid in reversed(names) if inode in _sockets(pid))
+    owners = (
+        names[pid] for pid in reversed(tuple(names)) if inode in _sockets(pid)
+    )
     return next(owners, STRANGER)
 
 
