--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -8,12 +8,15 @@
     --target target/deps -r deploy/requirements.txt
   cp deploy/requirements.txt "$stamp"
 fi
-# The workspace's own packages are plain Python: a copy installs them.
+# The workspace's own packages are plain Python: a copy installs them. What has
+# not changed stays, since nodes of another run may be reading it.
 for source in packages/cowslipfork/src/cowslipfork \
   packages/cowslipfork-direct/src/cowslipfork_direct \
   platform/src/cowslipfork_platform; do
   name=$(basename "$source")
-  rm -rf "target/deps/$name"
-  cp -R "$source" "target/deps/$name"
+  if ! diff -rq -x __pycache__ "$source" "target/deps/$name" > /dev/null 2>&1; then
+    rm -rf "target/deps/$name"
+    cp -R "$source" "target/deps/$name"
+  fi
 done
 python3 -m compileall -q -o 2 target/deps
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/attempt.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/attempt.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import Final
 
 from cowslipfork.ids import EndpointId, Mark
-from cowslipfork.limits import Place, Shed
+from cowslipfork.limits import Shed
 from cowslipfork.outcomes import Done, NotRun, Reason, Unknown
 from cowslipfork_direct.answers import Answer, DirectOutcome, Failed
 from cowslipfork_direct.clock import boot_time
@@ -20,7 +19,8 @@
     LinkLost,
     LinkRefused,
 )
-from cowslipfork_direct.loan import Loan, borrow
+from cowslipfork_direct.loan import Loan
+from cowslipfork_direct.patience import Candidates, borrow_for
 from cowslipfork_direct.reading import floor_of
 from cowslipfork_direct.work import Work
 
@@ -53,20 +53,17 @@
     def __init__(
         self,
         work: Work,
-        candidates: Callable[[], Iterable[EndpointId]],
-        until: float,
+        candidates: Candidates,
     ) -> None:
         """Starts before the endpoint is chosen.
 
         Args:
             work: the statement.
             candidates: gives the endpoints that may serve it, best first.
-            until: loop time up to which it waits for a connection.
         """
         self._work = work
         self._group = work.service.group
         self._candidates = candidates
-        self._until = until
         self._endpoint: EndpointId | None = None
 
     @property
@@ -76,9 +73,7 @@
 
     async def run(self) -> Tried:
         """Tries the statement."""
-        work = self._work
-        place = Place(work.request_class, self._candidates, self._until)
-        loan = await borrow(self._group, place, work.values)
+        loan = await borrow_for(self._work, self._candidates)
         if isinstance(loan, Shed):
             reason = Reason.NO_PRIMARY if loan.late else Reason.QUEUE_FULL
             retry_ms = max(loan.retry_after_ms, RETRY_AFTER_MS)
@@ -133,7 +128,10 @@
             reply = await loan.ask(command, self._work.deadline)
         except LinkLost as error:
             return self._lost(error)
-        loan.endpoint.note_duration(boot_time() - begun)
+        if reply.code is Code.DONE:
+            loan.endpoint.note_duration(boot_time() - begun)
+            if floor is not None:
+                loan.endpoint.note_served()
         if leader is not None:
             self._group.note_mark(leader, begun, reply.mark)
         return await self._judge(loan.endpoint.id, reply, leader)
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/endpoint.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/endpoint.py
@@ -33,13 +33,17 @@
 DOUBT_AFTER: Final = 0.1
 
 #: Seconds for which an endpoint that lacked a log entry is not asked again
-#: for it.
+#: for it; each further time doubles them, up to a bound.
 BEHIND_PAUSE: Final = 0.1
+LONGEST_BEHIND_PAUSE: Final = 0.8
 
 #: Seconds without use after which a connection is closed, so that others find
 #: room at the endpoint, also while connections of dead nodes linger there.
 IDLE_LIMIT: Final = 1.5
 
+#: The same for connections beyond this node's share.
+SPARE_IDLE_LIMIT: Final = 0.3
+
 #: Seconds for which no further connection is opened to an endpoint that had
 #: no room: it drops those of dead machines after 3 s.
 FULL_PAUSE: Final = 0.6
@@ -81,7 +85,9 @@
         self._mark: Mark | None = None
         self._pace = Pace()
         self._health = Health(boot_time)
+        self._share = 1
         self._behind_until: float = 0
+        self._behind_pause = BEHIND_PAUSE
         self._full_until: float = 0
 
     @property
@@ -129,6 +135,11 @@
         """Whether it does its work."""
         return self._health
 
+    @property
+    def usual(self) -> float:
+        """Seconds that its answers usually take."""
+        return self._pace.mean
+
     @property
     def patience(self) -> float:
         """Seconds after which an answer takes longer than usual."""
@@ -138,9 +149,15 @@
         """Takes note of how long a statement took."""
         self._pace.note(seconds)
 
+    def note_served(self) -> None:
+        """Takes note that it had the log entry that was demanded."""
+        self._behind_pause = BEHIND_PAUSE
+
     def note_behind(self) -> None:
         """Takes note that it lacked a log entry just now."""
-        self._behind_until = boot_time() + BEHIND_PAUSE
+        self._behind_until = boot_time() + self._behind_pause
+        longer = 2 * self._behind_pause
+        self._behind_pause = min(longer, LONGEST_BEHIND_PAUSE)
 
     async def watch(self) -> None:
         """Finds out whether the machine answers when that is in doubt."""
@@ -196,7 +213,8 @@
 
         If it takes long, the machine is asked whether it is there.
         """
-        return _Expecting(max(DOUBT_AFTER, self._pace.patience), self.doubt)
+        patience = max(DOUBT_AFTER, self._pace.patience)
+        return _Expecting(patience, self.doubt)
 
     def take_back(self, pooled: PooledLink, *, usable: bool) -> None:
         """Takes a lent connection back.
@@ -210,6 +228,9 @@
         if usable and known and self.silent_since is None:
             self._idle.append(pooled)
             self.close_unused()
+            if self.open_links > self._share:
+                loop = asyncio.get_running_loop()
+                loop.call_later(SPARE_IDLE_LIMIT, self.close_unused)
         else:
             pooled.link.close()
 
@@ -220,13 +241,24 @@
 
     def close_unused(self) -> None:
         """Closes connections that have not been needed for a while."""
-        oldest = boot_time() - IDLE_LIMIT
-        while len(self._idle) > 1 and self._idle[0].used_at < oldest:
+        now = boot_time()
+        while len(self._idle) > 1 and self._idle[0].used_at < now - IDLE_LIMIT:
             self._idle.popleft().link.close()
+        while (
+            self._idle
+            and self.open_links > self._share
+            and self._idle[0].used_at <= now - SPARE_IDLE_LIMIT
+        ):
+            self._idle.popleft().link.close()
+
+    def share(self, links: int) -> None:
+        """Sets how many connections this node may keep open.
 
-    def shrink(self, most: int) -> None:
-        """Closes idle connections beyond a number of open ones."""
-        while self._idle and self.open_links > most:
+        Args:
+            links: its share; idle connections beyond it are closed.
+        """
+        self._share = links
+        while self._idle and self.open_links > links:
             self._idle.popleft().link.close()
 
     def close(self) -> None:
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/group.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/group.py
@@ -28,6 +28,9 @@
 #: Connections of this node to each endpoint until its share is known.
 FIRST_LINKS: Final = 2
 
+#: Connections beside its share that this node opens to each endpoint while
+#: transactions rest on others.
+SPARE_LINKS: Final = 3
 
 #: Seconds for which callers wait for a primary that was lost while nobody has
 #: begun to replace it.
@@ -76,7 +79,7 @@
             now: clock in seconds that runs while the machine is suspended.
         """
         self.name = name
-        self.queue = SlotQueue({})
+        self.queue = SlotQueue({}, SPARE_LINKS)
         self.standing = Standing(now)
         self.freshness = Freshness()
         self._network = network
@@ -210,7 +213,7 @@
         self._links = links
         self.queue.resize(dict.fromkeys(self._endpoints, links))
         for endpoint in self._endpoints.values():
-            endpoint.shrink(links)
+            endpoint.share(links)
 
     def observe(
         self,
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/loan.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/loan.py
@@ -56,6 +56,7 @@
         self._usable = True
         self._returned = False
         self._transaction_open = False
+        self._resting = False
 
     @property
     def endpoint(self) -> Endpoint:
@@ -84,6 +85,8 @@
     ) -> list[EndpointReply]:
         """Sends commands.
 
+        Between the statements of a transaction its connection rests.
+
         Args:
             commands: at least one.
             until: loop time after which the connection is given up.
@@ -96,6 +99,7 @@
                 when the loan ends.
         """
         self._check_usable()
+        self._resume()
         self._usable = False
         try:
             async with asyncio.timeout_at(until):
@@ -114,6 +118,8 @@
             self._endpoint.health.failed()
         else:
             self._endpoint.health.succeeded()
+        if self._transaction_open:
+            self._rest()
         return replies
 
     async def ask(self, command: Command, until: float) -> EndpointReply:
@@ -185,6 +191,16 @@
             self._usable = False
         return failed or replies[-1]
 
+    def _rest(self) -> None:
+        """Leaves the slot to others until the next statement."""
+        self._resting = True
+        self._group.queue.rest(self._endpoint.id)
+
+    def _resume(self) -> None:
+        if self._resting:
+            self._resting = False
+            self._group.queue.resume(self._endpoint.id)
+
     def _check_usable(self) -> None:
         """Refuses to send where the next answer belongs to something else."""
         if not self._usable:
@@ -199,6 +215,7 @@
         if self._returned:
             return
         self._returned = True
+        self._resume()
         usable = self._usable and not self._transaction_open
         self._endpoint.take_back(self._pooled, usable=usable)
         seconds = boot_time() - self._begun
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/pace.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/pace.py
@@ -33,6 +33,11 @@
         usual = self._mean + USUAL_DEVIATIONS * self._deviation
         return max(LEAST_PATIENCE, usual)
 
+    @property
+    def mean(self) -> float:
+        """Seconds that an answer usually takes; 0 before the first one."""
+        return self._mean or 0
+
     def note(self, seconds: float) -> None:
         """Takes an answer in.
 
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/reading.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/reading.py
@@ -14,6 +14,10 @@
 #: taken.
 NEAR_LOAD: Final = 2
 
+#: Seconds by which usual answers may differ without one endpoint being taken
+#: for slower than another.
+NEAR_WAIT: Final = 0.05
+
 
 def floor_of(work: Work) -> Mark | None:
     """Gives the mark with which any endpoint may serve a read.
@@ -71,7 +75,7 @@
         elsewhere = not leads and not group.follows(endpoint.id)
         return (
             elsewhere,
-            endpoint.in_use // NEAR_LOAD,
+            endpoint.in_use // NEAR_LOAD + int(endpoint.usual / NEAR_WAIT),
             leads,
             endpoint.listed.failure_domain != here,
             endpoint.in_use,
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/single.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/single.py
@@ -19,6 +19,7 @@
 from cowslipfork.outcomes import Done, NotRun, Reason
 from cowslipfork_direct.answers import DirectOutcome, detail_of, name_of
 from cowslipfork_direct.attempt import RETRY_AFTER_MS, Attempt, Tried
+from cowslipfork_direct.patience import in_time
 from cowslipfork_direct.reading import floor_of, leader_only, readers
 from cowslipfork_direct.work import Work
 
@@ -29,13 +30,6 @@
 FIRST_RETRY_PAUSE: Final = 0.02
 MOST_DOUBLINGS: Final = 3
 
-#: Seconds before the deadline at which nothing is sent any more: it would only
-#: end in doubt.
-LEAST_TIME: Final = 0.1
-
-#: Seconds that every statement may wait for a connection.
-LEAST_WAIT: Final = 0.1
-
 #: Seconds between two looks whether a read has found a connection.
 UNSENT_LOOK: Final = 0.1
 
@@ -103,7 +97,7 @@
         return self._last
 
     def _start(self) -> None:
-        attempt = Attempt(self._work, self._candidates, self._wait_until())
+        attempt = Attempt(self._work, self._candidates)
         task = asyncio.create_task(attempt.run())
         self._running[task] = attempt
 
@@ -113,12 +107,12 @@
             self._avoided.add(tried.endpoint)
         if not isinstance(self._last, Done):
             self._last = tried.outcome
-        if self._running or not self._in_time():
+        if self._running or not in_time(self._work):
             return
         if not any(self._candidates()):
             self._avoided.clear()
             await asyncio.sleep(next(self._pauses))
-            if not self._in_time():
+            if not in_time(self._work):
                 return
         if tried.free or self._work.service.budget.may_retry():
             self._start()
@@ -145,7 +139,7 @@
         if (
             None not in sent
             and len(self._running) < MOST_AT_ONCE
-            and self._in_time()
+            and in_time(self._work)
             and self._work.service.budget.may_retry()
         ):
             self._note_slow(sent)
@@ -181,14 +175,6 @@
             default=UNSENT_LOOK,
         )
 
-    def _in_time(self) -> bool:
-        last = self._work.deadline - LEAST_TIME
-        return asyncio.get_running_loop().time() < last
-
-    def _wait_until(self) -> float:
-        """Loop time up to which a try waits for a connection."""
-        return wait_until(self._work)
-
     def _candidates(self) -> Iterable[EndpointId]:
         work = self._work
         floor = floor_of(work)
@@ -206,24 +192,6 @@
                 task.add_done_callback(_end_in_background)
 
 
-def wait_until(work: Work) -> float:
-    """Gives the loop time up to which a statement waits for a connection.
-
-    While the primary changes it may wait to its deadline; under load not
-    longer than its goal, since an answer after that is worth little and the
-    caller may find another node.
-
-    Args:
-        work: the statement.
-    """
-    group = work.service.group
-    now = asyncio.get_running_loop().time()
-    last = min(work.deadline - LEAST_TIME, group.worth_waiting_until())
-    if group.accepting is None:
-        return last
-    return min(last, now + max(work.route.goal, LEAST_WAIT))
-
-
 def retry_pauses() -> Iterator[float]:
     """Yields pauses before the same endpoints are tried again, in seconds."""
     for doublings in itertools.count():
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/claims.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/claims.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+from collections.abc import Sequence
 from dataclasses import dataclass, replace
 from typing import Final
 from uuid import uuid4
@@ -102,12 +103,11 @@
             self._node,
             claim_id,
         )
-        fence = self._board.duty_revision
-        puts = [Put(takeover_key(group), encode(takeover))]
-        duty = self._board.duty
-        if duty is None or duty.holder != self._node:
-            puts.append(Put(DUTY_KEY, encode(Duty(self._node, claim_id))))
-            fence = 0
+        fence = self._board.duty_revision if self._holds_duty() else 0
+        puts = [
+            Put(takeover_key(group), encode(takeover)),
+            *self._take_duty(claim_id, fence),
+        ]
         begun = boot_time()
         revision = await self._swap(
             (
@@ -130,6 +130,9 @@
     ) -> Claim | None:
         """Writes how far a takeover has come.
 
+        An order needs the duty, which another node may have taken meanwhile
+        for another group; it is then taken back with a greater fence.
+
         Args:
             claim: the takeover.
             phase: its new phase.
@@ -147,19 +150,37 @@
         )
         begun = boot_time()
         key = takeover_key(takeover.group)
-        revision = await self._swap(
-            (Compare(key, claim.revision),),
-            [Put(key, encode(takeover))],
-            takeover,
-        )
+        compares = [Compare(key, claim.revision)]
+        puts = [Put(key, encode(takeover))]
+        fence = claim.fence
+        if phase is Phase.ORDERED:
+            fence = self.fence_of(claim)
+            compares.append(Compare(DUTY_KEY, self._board.duty_revision))
+            puts.extend(self._take_duty(takeover.claim, fence))
+        revision = await self._swap(compares, puts, takeover)
         if not revision:
             return None
-        return Claim(takeover, revision, claim.fence, begun)
+        return Claim(takeover, revision, fence or revision, begun)
+
+    def fence_of(self, claim: Claim) -> int:
+        """Gives the fence under which a claim may order; 0 if it lost it."""
+        held = claim.fence == self._board.duty_revision
+        return claim.fence if held else 0
+
+    def _holds_duty(self) -> bool:
+        duty = self._board.duty
+        return duty is not None and duty.holder == self._node
+
+    def _take_duty(self, claim_id: ClaimId, fence: int) -> list[Put]:
+        """Gives the write that takes the duty, if it is not held already."""
+        if fence:
+            return []
+        return [Put(DUTY_KEY, encode(Duty(self._node, claim_id)))]
 
     async def _swap(
         self,
-        compares: tuple[Compare, ...],
-        puts: list[Put],
+        compares: Sequence[Compare],
+        puts: Sequence[Put],
         takeover: Takeover,
     ) -> int:
         """Writes a record; finds out whether it did after a lost answer.
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/promoter.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/promoter.py
@@ -332,7 +332,7 @@
         if (
             self._takeover.phase is not Phase.ORDERED
             or self._takeover.candidate != candidate
-            or boot_time() - self._claim.confirmed_at > CLAIM_YOUNG
+            or not self._may_order()
         ):
             advanced = await self._tools.claims.advance(
                 self._claim,
@@ -342,7 +342,7 @@
             if advanced is None:
                 return OrderResult.TRY_AGAIN
             self._claim = advanced
-        if boot_time() - self._claim.confirmed_at > CLAIM_YOUNG:
+        if not self._may_order():
             # This node was frozen meanwhile, and another may have gone on.
             return OrderResult.TRY_AGAIN
         order = Order(
@@ -365,6 +365,11 @@
         )
         return result
 
+    def _may_order(self) -> bool:
+        """Tells whether the claim is young and its fence the newest known."""
+        young = boot_time() - self._claim.confirmed_at <= CLAIM_YOUNG
+        return young and self._tools.claims.fence_of(self._claim) > 0
+
     async def _finish(self, candidate: EndpointId) -> None:
         """Waits until the candidate leads and records it."""
         until = boot_time() + EFFECT_TIMEOUT
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/transaction.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/transaction.py
@@ -4,10 +4,11 @@
 
 import asyncio
 from dataclasses import dataclass
+from functools import partial
 from typing import Final
 
 from cowslipfork.ids import EndpointId, Mark
-from cowslipfork.limits import Place, Shed
+from cowslipfork.limits import Shed
 from cowslipfork.outcomes import Done, NotRun, Reason, Unknown
 from cowslipfork_direct.answers import Answer, DirectOutcome, Failed
 from cowslipfork_direct.attempt import RETRY_AFTER_MS
@@ -26,9 +27,14 @@
     LinkLost,
     LinkRefused,
 )
-from cowslipfork_direct.loan import Loan, borrow
+from cowslipfork_direct.loan import Loan
+from cowslipfork_direct.patience import (
+    LEAST_TIME,
+    borrow_for,
+    in_time,
+)
 from cowslipfork_direct.reading import floor_of, leader_only, readers
-from cowslipfork_direct.single import LEAST_TIME, retry_pauses, wait_until
+from cowslipfork_direct.single import retry_pauses
 from cowslipfork_direct.statements import Verb
 from cowslipfork_direct.work import Work
 
@@ -136,9 +142,7 @@
             return outcome
 
     def _may_restart(self, work: Work) -> bool:
-        last = work.deadline - LEAST_TIME
-        in_time = asyncio.get_running_loop().time() < last
-        return in_time and work.service.budget.may_retry()
+        return in_time(work) and work.service.budget.may_retry()
 
     async def _run_at(self, begun: Begun, work: Work) -> DirectOutcome:
         leader = begun.leader
@@ -233,14 +237,14 @@
         Returns:
             The transaction, or why there is none.
         """
-        loop = asyncio.get_running_loop()
-        while loop.time() < work.deadline:
+        candidates = partial(self._candidates, work, avoided)
+        while in_time(work):
             refusal = await self._begin_somewhere(work, avoided)
             if refusal is not None:
                 return refusal
             if self._begun is not None:
                 return self._begun
-            if not any(self._candidates(work, avoided)):
+            if not any(candidates()):
                 avoided.clear()
                 await asyncio.sleep(next(self._pauses))
         return self._last
@@ -264,13 +268,7 @@
         work: Work,
         avoided: set[EndpointId],
     ) -> NotRun | None:
-        group = work.service.group
-        place = Place(
-            work.request_class,
-            lambda: self._candidates(work, avoided),
-            wait_until(work),
-        )
-        loan = await borrow(group, place, work.values)
+        loan = await borrow_for(work, lambda: self._candidates(work, avoided))
         if isinstance(loan, Shed):
             reason = Reason.NO_PRIMARY if loan.late else Reason.QUEUE_FULL
             return NotRun(reason, max(loan.retry_after_ms, RETRY_AFTER_MS))
--- a/packages/cowslipfork-direct/tests/takeover/test_takeover.py
+++ b/packages/cowslipfork-direct/tests/takeover/test_takeover.py
@@ -112,6 +112,22 @@
     assert isinstance(run(main()), Done)
 
 
+def test_a_transaction_that_ends_soon_keeps_the_primary_meanwhile():
+    async def main():
+        async with world(nodes=3) as made:
+            session = await made.session()
+            await session.run(statement('BEGIN'))
+            await session.run(statement('WRITE a'))
+            made.servers['e1'].leaving = True
+            made.list_server(made.servers['e1'])
+            await asyncio.sleep(0.4)
+            return made, await session.run(statement('COMMIT'))
+
+    made, outcome = run(main())
+    assert isinstance(outcome, Done)
+    assert len(made.servers['e1'].log) == 1
+
+
 def test_a_transaction_that_lasts_longer_is_told_that_nothing_is_kept():
     async def main():
         async with world(nodes=2) as made:
--- a/packages/cowslipfork-direct/tests/test_mechanisms.py
+++ b/packages/cowslipfork-direct/tests/test_mechanisms.py
@@ -395,3 +395,31 @@
             return Supervision(tools, group, None, suspecting).need()
 
     assert run(main()) is kind
+
+
+def test_fences_of_takeovers_that_run_at_once_never_go_down():
+    async def main():
+        async with world(nodes=0) as made:
+            claimers = []
+            for name in ('n1', 'n2'):
+                board = Board(lambda _: None)
+                claims = Claims(VmId(name), board, made.store)
+                claimers.append((board, claims))
+            (board, first), (_, second) = claimers
+            early = await first.claim(GROUP, Kind.HANDOVER, 'e1', Term(1))
+            seen, _ = await made.store.list_prefix('')
+            claimers[1][0].take(
+                [Event(one.key, one.content, one.revision) for one in seen],
+            )
+            other = GroupName('h')
+            late = await second.claim(other, Kind.HANDOVER, 'e4', Term(1))
+            late = await second.advance(late, Phase.ORDERED, 'e5')
+            unaware = await first.advance(early, Phase.ORDERED, 'e2')
+            duty = await made.store.get(DUTY_KEY)
+            board.take([Event(DUTY_KEY, duty.content, duty.revision)])
+            aware = await first.advance(early, Phase.ORDERED, 'e2')
+            return late, unaware, aware
+
+    late, unaware, aware = run(main())
+    assert unaware is None
+    assert aware.fence > late.fence
--- a/packages/cowslipfork-direct/tests/test_session.py
+++ b/packages/cowslipfork-direct/tests/test_session.py
@@ -263,3 +263,50 @@
             return made.opened - before
 
     assert run(main()) <= 3
+
+
+def test_transactions_that_rest_leave_room_for_others():
+    async def main():
+        async with world(nodes=1, connections=1) as made:
+            resting = [await made.session() for _ in range(2)]
+            for number, session in enumerate(resting):
+                await session.run(statement('BEGIN'))
+                await session.run(statement(f'WRITE a {number}'))
+            other = await made.session()
+            outcome = await other.run(statement('WRITE b 1'))
+            ended = [await one.run(statement('COMMIT')) for one in resting]
+            return made, outcome, ended
+
+    made, outcome, ended = run(main())
+    assert isinstance(outcome, Done)
+    assert all(isinstance(done, Done) for done in ended)
+    assert len(made.servers['e1'].log) == 3
+
+
+def test_connections_beyond_the_share_are_closed_soon():
+    async def main():
+        async with world(nodes=1, connections=1) as made:
+            sessions = [await made.session() for _ in range(3)]
+            for number, session in enumerate(sessions):
+                await session.run(statement('BEGIN'))
+                await session.run(statement(f'WRITE a {number}'))
+            for session in sessions:
+                await session.run(statement('COMMIT'))
+            await asyncio.sleep(1)
+            return made.servers['e1'].connections
+
+    assert run(main()) == 1
+
+
+def test_values_of_one_caller_are_gone_for_the_next_one():
+    async def main():
+        async with world(nodes=1, connections=1) as made:
+            first = await made.session()
+            stated = statement('SET zone 1', name='zone', argument='1')
+            await first.run(stated)
+            await first.run(statement('WRITE a 1'))
+            second = await made.session()
+            await second.run(statement('WRITE b 2'))
+            return made.servers['e1'].values_seen
+
+    assert run(main()) == [{'zone': '1'}, {}]
--- a/packages/cowslipfork-direct/tests/test_single.py
+++ b/packages/cowslipfork-direct/tests/test_single.py
@@ -157,3 +157,34 @@
     assert isinstance(outcome, NotRun)
     assert outcome.reason is Reason.NOT_CURRENT
     assert made.servers['e1'].log == []
+
+
+def test_under_load_a_statement_waits_as_long_as_its_goal_allows():
+    async def main():
+        async with world(connections=1) as made:
+            made.servers['e1'].work = 0.5
+            sessions = [await made.session() for _ in range(2)]
+            first = asyncio.create_task(sessions[0].run(statement('WRITE a')))
+            await asyncio.sleep(0.01)
+            begun = now()
+            outcome = await sessions[1].run(statement('WRITE b'))
+            return outcome, now() - begun, await first
+
+    outcome, waited, first = run(main())
+    assert isinstance(first, Done)
+    assert isinstance(outcome, NotRun)
+    assert outcome.retry_after_ms
+    assert waited == pytest.approx(0.2, abs=0.01)
+
+
+def test_a_write_that_was_not_sent_waits_for_the_next_primary():
+    async def main():
+        async with world(nodes=3) as made:
+            made.configure(timeout=2.5)
+            await asyncio.sleep(0.2)
+            session = await made.session()
+            await session.run(statement('SET zone 1', name='zone'))
+            made.servers['e1'].dark = True
+            return await session.run(statement('WRITE a'))
+
+    assert isinstance(run(main()), Done)
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/run.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/run.py
@@ -15,7 +15,8 @@
 import typer
 
 from cowslipfork.errors import CowslipforkError
-from cowslipfork_lab.mutants.table import MUTANTS, Mutant
+from cowslipfork_lab.mutants.mutant import Mutant
+from cowslipfork_lab.mutants.table import MUTANTS
 
 #: Copies of the tree that are tested at once.
 _AT_ONCE: Final = 3
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/table.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/table.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from pathlib import PurePosixPath
 from typing import Final
 
+from cowslipfork_lab.mutants.direct_table import DIRECT_MUTANTS
+from cowslipfork_lab.mutants.mutant import Mutant
+
 _DOMAIN: Final = PurePosixPath('packages/cowslipfork/src/cowslipfork')
 _PROXY: Final = PurePosixPath(
     'packages/cowslipfork-proxy/src/cowslipfork_proxy'
@@ -13,26 +15,6 @@
 _DOMAIN_TESTS: Final = 'packages/cowslipfork/tests'
 _PROXY_TESTS: Final = 'packages/cowslipfork-proxy/tests'
 
-
-@dataclass(frozen=True, slots=True)
-class Mutant:
-    """A mechanism and how it is switched off.
-
-    Attributes:
-        mechanism: what is off.
-        path: source file.
-        text: text that is replaced; it occurs once.
-        replacement: what stands there instead.
-        tests: tests of which at least one must fail.
-    """
-
-    mechanism: str
-    path: PurePosixPath
-    text: str
-    replacement: str
-    tests: str
-
-
 MUTANTS: Final = (
     Mutant(
         'a job and its request_id commit together',
@@ -209,4 +191,5 @@
         '    if report.beat < 0:',
         f'{_DOMAIN_TESTS}/membership',
     ),
+    *DIRECT_MUTANTS,
 )
--- a/packages/cowslipfork/src/cowslipfork/limits/queue.py
+++ b/packages/cowslipfork/src/cowslipfork/limits/queue.py
@@ -4,12 +4,15 @@
 grows by 1/weight with each slot it gets; a free slot goes to the waiting class
 with the least virtual time that can use it. Statements inside a transaction go
 first, since they hold locks that others wait for.
+
+A transaction may rest between its statements: it then holds a connection but no
+slot, and a number of spare connections make up for those that rest.
 """
 
 from __future__ import annotations
 
 import asyncio
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 from typing import Final
@@ -72,13 +75,20 @@
 class SlotQueue:
     """Slots of a group's endpoints and who waits for them."""
 
-    def __init__(self, slots: Mapping[EndpointId, int]) -> None:
+    def __init__(
+        self,
+        slots: Mapping[EndpointId, int],
+        spare: int = 0,
+    ) -> None:
         """Starts with all slots free.
 
         Args:
             slots: statements that may run at once, by endpoint.
+            spare: connections of each endpoint that may rest beside them.
         """
         self._slots = dict(slots)
+        self._spare = spare
+        self._resting: Counter[EndpointId] = Counter()
         self._free = dict(slots)
         self._classes: dict[ClassName, _ClassQueue] = {}
         self._urgent: deque[_Waiter] = deque()
@@ -152,9 +162,28 @@
         self._free[endpoint] += 1
         self.wake()
 
+    def rest(self, endpoint: EndpointId) -> None:
+        """Gives a slot back but keeps its connection.
+
+        Args:
+            endpoint: whose slot it was.
+        """
+        self._resting[endpoint] += 1
+        self._free[endpoint] += 1
+        self.wake()
+
+    def resume(self, endpoint: EndpointId) -> None:
+        """Takes a slot again after a rest, even if none is free.
+
+        Args:
+            endpoint: whose connection rested.
+        """
+        self._resting[endpoint] -= 1
+        self._free[endpoint] -= 1
+
     def wake(self) -> None:
         """Serves waiters again, as after a change of eligible endpoints."""
-        while any(self._free.values()):
+        while any(map(self._has_room, self._free)):
             served = self._serve_urgent() or self._serve_fairly()
             if not served:
                 break
@@ -175,7 +204,7 @@
 
     def _take(self, place: Place) -> EndpointId | None:
         endpoint = next(
-            (name for name in place.candidates() if self._free.get(name)),
+            (name for name in place.candidates() if self._has_room(name)),
             None,
         )
         if endpoint is not None:
@@ -183,6 +212,11 @@
             self._charge(place)
         return endpoint
 
+    def _has_room(self, endpoint: EndpointId) -> bool:
+        """Tells whether a slot and a connection are to be had."""
+        free = self._free.get(endpoint, 0)
+        return free > 0 and self._resting[endpoint] < self._spare + free
+
     def _charge(self, place: Place) -> None:
         if place.in_transaction:
             return
--- a/packages/cowslipfork/tests/limits/test_queue.py
+++ b/packages/cowslipfork/tests/limits/test_queue.py
@@ -199,3 +199,36 @@
     for task in tasks:
         task.cancel()
     await asyncio.gather(*tasks, return_exceptions=True)
+
+
+async def test_who_rests_leaves_room_up_to_the_spare():
+    queue = SlotQueue({A: 1}, spare=1)
+    lookup = request_class('lookup')
+    await queue.enter(place(lookup, A))
+    second, third = await entered(queue, place(lookup, A), place(lookup, A))
+    assert not second.done()
+
+    queue.rest(A)
+    assert await second == A
+    queue.rest(A)
+    await asyncio.sleep(0)
+    assert not third.done()
+
+    queue.resume(A)
+    queue.leave(A, 0.001)
+    assert await third == A
+
+
+async def test_who_resumes_is_not_kept_waiting():
+    queue = SlotQueue({A: 1}, spare=1)
+    lookup = request_class('lookup')
+    await queue.enter(place(lookup, A))
+    queue.rest(A)
+    await queue.enter(place(lookup, A))
+    queue.resume(A)
+    (waiting,) = await entered(queue, place(lookup, A))
+    queue.leave(A, 0.001)
+    await asyncio.sleep(0)
+    assert not waiting.done()
+    queue.leave(A, 0.001)
+    assert await waiting == A
