--- a/packages/cowslipfork-direct/src/cowslipfork_direct/attempt.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/attempt.py
@@ -11,7 +11,7 @@
 from cowslipfork_direct.answers import Answer, DirectOutcome, Failed
 from cowslipfork_direct.clock import boot_time
 from cowslipfork_direct.commands import Execute, Run
-from cowslipfork_direct.group import Leader
+from cowslipfork_direct.findings import Leader
 from cowslipfork_direct.link import (
     NOT_RUN,
     Code,
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/group.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/group.py
@@ -6,15 +6,15 @@
 import logging
 import math
 from collections.abc import Callable, Iterable, Mapping, Sequence
-from dataclasses import dataclass
 from typing import Final
 
 from cowslipfork.ids import EndpointId, GroupName, Mark, Term
 from cowslipfork.limits import SlotQueue
 from cowslipfork_direct.clock import boot_time
 from cowslipfork_direct.endpoint import Endpoint
+from cowslipfork_direct.findings import Finding, Findings, Leader
 from cowslipfork_direct.freshness import Freshness
-from cowslipfork_direct.link import EndpointRole, EndpointStatus, Network
+from cowslipfork_direct.link import EndpointStatus, Network
 from cowslipfork_direct.listing import ListedEndpoint
 from cowslipfork_direct.relay import Address
 from cowslipfork_direct.standing import (
@@ -37,27 +37,6 @@
 LEADERLESS_PATIENCE: Final = 0.8
 
 
-@dataclass(frozen=True, slots=True)
-class Leader:
-    """The primary of a term."""
-
-    endpoint: EndpointId
-    term: Term
-
-
-@dataclass(frozen=True, slots=True)
-class Finding:
-    """A status and when it was asked for.
-
-    Attributes:
-        status: what the endpoint said.
-        begun: boot time before it was asked.
-    """
-
-    status: EndpointStatus
-    begun: float
-
-
 class Group:
     """Endpoints of one group and what they told."""
 
@@ -87,7 +66,7 @@
         self._gap = gap
         self._now = now
         self._endpoints: dict[EndpointId, Endpoint] = {}
-        self._findings: dict[EndpointId, Finding] = {}
+        self._findings = Findings()
         self._leader: Leader | None = None
         self._last_leader: Leader | None = None
         self._leaderless_since = asyncio.get_running_loop().time()
@@ -104,6 +83,15 @@
         """Endpoints by id."""
         return self._endpoints
 
+    @property
+    def answering(self) -> list[Endpoint]:
+        """Endpoints that are not silent."""
+        return [
+            endpoint
+            for endpoint in self._endpoints.values()
+            if endpoint.silent_since is None
+        ]
+
     @property
     def leader(self) -> Leader | None:
         """Primary of the highest term heard of, unless it is silent."""
@@ -122,9 +110,9 @@
     @property
     def highest_term(self) -> Term:
         """Highest term that an endpoint was heard to be in."""
-        terms = [finding.status.term for finding in self._findings.values()]
         last = self._last_leader
-        return max((*terms, last.term if last else Term(0)))
+        told = self._findings.highest_term
+        return max(told, last.term if last else Term(0))
 
     @property
     def majority(self) -> int:
@@ -143,7 +131,7 @@
 
     def finding(self, endpoint: EndpointId) -> Finding | None:
         """Gives what an endpoint last told; None after it was silent."""
-        return self._findings.get(endpoint)
+        return self._findings.of(endpoint)
 
     @property
     def ill_leader(self) -> Leader | None:
@@ -169,13 +157,8 @@
 
     def follows(self, endpoint: EndpointId) -> bool:
         """Tells whether an endpoint is a replica in the primary's term."""
-        finding = self._findings.get(endpoint)
-        return (
-            finding is not None
-            and self._leader is not None
-            and finding.status.role is EndpointRole.REPLICA
-            and finding.status.term == self._leader.term
-        )
+        leader = self._leader
+        return leader is not None and self._findings.follows(endpoint, leader)
 
     def list_endpoints(
         self,
@@ -197,10 +180,8 @@
             for entry in entries.values()
             if self._is_new(entry)
         )
-        for known, entry in entries.items():
-            if self._endpoints[known].listed.role is not entry.role:
-                self.forget(known)
-            self._endpoints[known].listed = entry
+        for name, entry in entries.items():
+            self._relist(self._endpoints[name], entry)
         self.allow(self._links)
         return added
 
@@ -228,12 +209,10 @@
             status: what it told.
             begun: boot time before it was asked.
         """
-        known = self._findings.get(endpoint)
         if endpoint not in self._endpoints:
             return
-        if known is not None and known.begun > begun:
+        if not self._findings.take(endpoint, Finding(status, begun)):
             return
-        self._findings[endpoint] = Finding(status, begun)
         self._elect()
         self._prove()
         leader = self.leader_at(endpoint)
@@ -243,7 +222,7 @@
 
     def forget(self, endpoint: EndpointId) -> None:
         """Drops what an endpoint told, which has to be asked again."""
-        self._findings.pop(endpoint, None)
+        self._findings.drop(endpoint)
         self._unknown.set()
         if self.leads(endpoint):
             self._lead(None)
@@ -301,7 +280,7 @@
         self._ceiling = Term(0)
         self._heir = None
         self._paused = False
-        for endpoint in tuple(self._findings):
+        for endpoint in self._findings.endpoints:
             self.forget(endpoint)
 
     def note_mark(
@@ -333,6 +312,15 @@
             known = None
         return known is None
 
+    def _relist(self, endpoint: Endpoint, entry: ListedEndpoint) -> None:
+        """Takes over what an endpoint lists about itself now."""
+        before = endpoint.listed
+        endpoint.listed = entry
+        if before.role is not entry.role:
+            self.forget(endpoint.id)
+        elif before.leaving is not entry.leaving:
+            self._announce()
+
     def _add(self, entry: ListedEndpoint) -> Endpoint:
         endpoint = Endpoint(
             entry,
@@ -354,18 +342,8 @@
             self.forget(name)
 
     def _elect(self) -> None:
-        """Finds the primary: the one of the highest term heard of."""
-        highest = max(
-            finding.status.term for finding in self._findings.values()
-        )
-        leaders = [
-            Leader(name, finding.status.term)
-            for name, finding in self._findings.items()
-            if finding.status.role is EndpointRole.PRIMARY
-            and finding.status.term == highest
-            and self._may_lead(Leader(name, highest))
-        ]
-        elected = leaders[0] if leaders else None
+        """Follows the primary of the highest term heard of."""
+        elected = self._findings.leader(self._may_lead)
         if elected != self._leader:
             self._lead(elected)
 
@@ -402,14 +380,7 @@
         leader = self._leader
         if leader is None:
             return
-        confirmed = sorted(
-            (
-                finding.begun
-                for finding in self._findings.values()
-                if _confirms(finding.status, leader)
-            ),
-            reverse=True,
-        )
+        confirmed = self._findings.confirmations(leader)
         needed = self.majority - 1
         begun = self._now()
         if needed > len(confirmed):
@@ -422,12 +393,3 @@
         changed = self._changed
         self._changed = asyncio.Event()
         changed.set()
-
-
-def _confirms(status: EndpointStatus, leader: Leader) -> bool:
-    """Tells whether a replica knows of no promotion beyond the leader's."""
-    return (
-        status.role is EndpointRole.REPLICA
-        and status.term == leader.term
-        and status.held_term <= leader.term
-    )
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/lookout.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/lookout.py
@@ -12,7 +12,8 @@
 from cowslipfork.limits import Place
 from cowslipfork_direct.clock import boot_time
 from cowslipfork_direct.endpoint import Endpoint
-from cowslipfork_direct.group import Group, Leader
+from cowslipfork_direct.findings import Leader
+from cowslipfork_direct.group import Group
 from cowslipfork_direct.link import EndpointStatus, Link, LinkLost
 from cowslipfork_direct.loan import Control, Loan, borrow
 
@@ -175,6 +176,15 @@
             self._group.observe(endpoint.id, status, begun)
         return status
 
+    async def control_all(
+        self,
+        endpoints: Iterable[Endpoint],
+        action: Control,
+    ) -> list[EndpointStatus | None]:
+        """Asks several endpoints at once; otherwise like ``control``."""
+        asked = [self.control(endpoint, action) for endpoint in endpoints]
+        return list(await asyncio.gather(*asked))
+
     async def _inspect_unknown(self) -> None:
         """Asks each endpoint that answers and of which nothing is known."""
         while True:
@@ -182,9 +192,8 @@
             self._group.uninspected.clear()
             unknown = [
                 endpoint
-                for endpoint in self._group.endpoints.values()
+                for endpoint in self._group.answering
                 if self._group.finding(endpoint.id) is None
-                and endpoint.silent_since is None
             ]
             answered = await asyncio.gather(*map(self.inspect, unknown))
             if not all(answered):
@@ -202,11 +211,7 @@
             if self._group.leader is not None:
                 await news.wait()
                 continue
-            await self._inspect_all(
-                endpoint
-                for endpoint in self._group.endpoints.values()
-                if endpoint.silent_since is None
-            )
+            await self._inspect_all(self._group.answering)
             await asyncio.sleep(SEEK_PAUSE)
 
     async def _sample(self) -> None:
@@ -246,8 +251,8 @@
         group = self._group
         candidates = [
             endpoint
-            for endpoint in group.endpoints.values()
-            if endpoint.silent_since is None and not group.leads(endpoint.id)
+            for endpoint in group.answering
+            if not group.leads(endpoint.id)
         ]
         return sorted(candidates, key=_load)
 
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/reaction.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/reaction.py
@@ -10,7 +10,8 @@
 from cowslipfork.store import LeasingStore, Put, StoreDown
 from cowslipfork_direct.clock import boot_time
 from cowslipfork_direct.endpoint import Endpoint
-from cowslipfork_direct.group import Group, Leader
+from cowslipfork_direct.findings import Leader
+from cowslipfork_direct.group import Group
 from cowslipfork_direct.takeover.board import Board
 from cowslipfork_direct.takeover.records import (
     Kind,
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/supervision.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/supervision.py
@@ -13,7 +13,7 @@
 from cowslipfork_direct.lookout import Lookout
 from cowslipfork_direct.takeover.board import Posted
 from cowslipfork_direct.takeover.claims import Claim
-from cowslipfork_direct.takeover.promoter import Promoter, Tools
+from cowslipfork_direct.takeover.promoter import Promoter
 from cowslipfork_direct.takeover.records import (
     Kind,
     Phase,
@@ -21,6 +21,7 @@
     Takeover,
 )
 from cowslipfork_direct.takeover.suspecting import Suspecting
+from cowslipfork_direct.takeover.tools import Tools
 from cowslipfork_direct.waiting import first_of
 
 log = logging.getLogger(__name__)
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/transaction.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/transaction.py
@@ -19,7 +19,7 @@
     Rollback,
     Run,
 )
-from cowslipfork_direct.group import Leader
+from cowslipfork_direct.findings import Leader
 from cowslipfork_direct.link import (
     NOT_RUN,
     Code,
--- a/packages/cowslipfork-direct/tests/takeover/test_takeover.py
+++ b/packages/cowslipfork-direct/tests/takeover/test_takeover.py
@@ -112,6 +112,18 @@
     assert isinstance(run(main()), Done)
 
 
+def test_a_leaving_primary_is_noticed_at_once():
+    async def main():
+        async with world(nodes=3) as made:
+            begun = asyncio.get_running_loop().time()
+            made.servers['e1'].leaving = True
+            made.list_server(made.servers['e1'])
+            await asyncio.sleep(2)
+            return made.orders[0][0] - begun
+
+    assert run(main()) < 0.2
+
+
 def test_a_transaction_that_ends_soon_keeps_the_primary_meanwhile():
     async def main():
         async with world(nodes=3) as made:
@@ -120,7 +132,7 @@
             await session.run(statement('WRITE a'))
             made.servers['e1'].leaving = True
             made.list_server(made.servers['e1'])
-            await asyncio.sleep(0.4)
+            await asyncio.sleep(0.2)
             return made, await session.run(statement('COMMIT'))
 
     made, outcome = run(main())
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/direct_table.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/direct_table.py
@@ -25,14 +25,14 @@
     ),
     Mutant(
         'direct: a promotion needs a fenced majority',
-        _DIRECT / 'takeover/promoter.py',
+        _DIRECT / 'takeover/fencing.py',
         'if fenced >= enough and await self._let_proofs_lapse():',
         'if await self._let_proofs_lapse():',
         _MECHANISMS,
     ),
     Mutant(
         'direct: a promotion waits until proofs have lapsed',
-        _DIRECT / 'takeover/promoter.py',
+        _DIRECT / 'takeover/fencing.py',
         '        await asyncio.sleep(validity)\n',
         '',
         _MECHANISMS,
@@ -60,7 +60,7 @@
     ),
     Mutant(
         'direct: held replicas confirm no primary',
-        _DIRECT / 'group.py',
+        _DIRECT / 'findings.py',
         'and status.held_term <= leader.term',
         'and status.held_term >= 0',
         _MECHANISMS,
