--- a/packages/cowslipfork-direct/tests/takeover/test_takeover.py
+++ b/packages/cowslipfork-direct/tests/takeover/test_takeover.py
@@ -112,9 +112,11 @@
     assert isinstance(run(main()), Done)
 
 
-def test_a_leaving_primary_is_noticed_at_once():
+@pytest.mark.parametrize('moment', [0, 0.05, 0.1, 0.15, 0.2])
+def test_a_leaving_primary_is_noticed_at_once(moment):
     async def main():
         async with world(nodes=3) as made:
+            await asyncio.sleep(moment)
             begun = asyncio.get_running_loop().time()
             made.servers['e1'].leaving = True
             made.list_server(made.servers['e1'])
