--- /dev/null
+++ b/packages/cowslipfork-direct/tests/takeover/test_claims.py
@@ -0,0 +1,168 @@
+"""Claims of takeovers: whom they bar, and under which fence they order."""
+
+import asyncio
+from types import SimpleNamespace
+
+import pytest
+from direct_fakes.world import run, statement, world
+
+from cowslipfork.ids import GroupName, Term, VmId
+from cowslipfork.outcomes import Done
+from cowslipfork.store import Event
+from cowslipfork_direct.takeover import Board, Claims, Supervision
+from cowslipfork_direct.takeover.records import (
+    DUTY_KEY,
+    ClaimId,
+    Duty,
+    Kind,
+    Phase,
+    Suspicion,
+    Takeover,
+    encode,
+    suspect_key,
+    takeover_key,
+)
+
+GROUP = GroupName('g')
+
+
+def test_a_claim_with_an_outdated_view_of_the_duty_is_refused():
+    async def main():
+        async with world(nodes=0) as made:
+            board = Board(lambda _: None)
+            duty = Duty(VmId('other'), ClaimId('theirs'))
+            made.store.put(DUTY_KEY, encode(duty))
+            claims = Claims(VmId('n1'), board, made.store)
+            outdated = await claims.claim(GROUP, Kind.FAILOVER, None, Term(1))
+            entry = await made.store.get(DUTY_KEY)
+            board.take([Event(DUTY_KEY, entry.content, entry.revision)])
+            return (
+                outdated,
+                entry,
+                await claims.claim(
+                    GROUP,
+                    Kind.FAILOVER,
+                    None,
+                    Term(2),
+                ),
+            )
+
+    outdated, entry, claim = run(main())
+    assert outdated is None
+    assert claim.fence > entry.revision
+
+
+def record(phase, *, term=2, ceiling=1, candidate='e2'):
+    return Takeover(
+        GROUP,
+        Term(term),
+        Term(ceiling),
+        'e1',
+        Kind.FAILOVER,
+        phase,
+        VmId('other'),
+        ClaimId(f'{phase.value}-{term}-{candidate}'),
+        candidate,
+    )
+
+
+@pytest.mark.parametrize(
+    ('last', 'term', 'ceiling'),
+    [
+        (None, 3, 2),
+        (record(Phase.DONE, term=2), 3, 2),
+        (record(Phase.DONE, term=5), 6, 5),
+        (record(Phase.ABANDONED, term=9, ceiling=8), 3, 2),
+        (record(Phase.CLAIMED, ceiling=2), 3, 2),
+        (record(Phase.ORDERED, ceiling=2), 3, 3),
+        (record(Phase.ORDERED, ceiling=6), 3, 7),
+    ],
+)
+def test_a_claim_bars_all_that_earlier_orders_may_have_made(
+    last,
+    term,
+    ceiling,
+):
+    async def main():
+        async with world(nodes=0) as made:
+            board = Board(lambda _: None)
+            if last is not None:
+                made.store.put(takeover_key(GROUP), encode(last))
+                entry = await made.store.get(takeover_key(GROUP))
+                board.take([Event(entry.key, entry.content, entry.revision)])
+            claims = Claims(VmId('n1'), board, made.store)
+            return await claims.claim(GROUP, Kind.FAILOVER, None, Term(2))
+
+    takeover = run(main()).takeover
+    assert (takeover.term, takeover.ceiling) == (term, ceiling)
+
+
+def test_a_primary_of_an_earlier_order_is_barred_by_a_later_takeover():
+    async def main():
+        async with world(nodes=1) as made:
+            made.database.promotion = 0
+            made.database.promote('e2')
+            await asyncio.sleep(0.1)
+            later = record(Phase.CLAIMED, term=2, ceiling=2, candidate=None)
+            made.store.put(takeover_key(GROUP), encode(later))
+            await asyncio.sleep(0.5)
+            session = await made.session()
+            return await session.run(statement('WRITE a'))
+
+    assert not isinstance(run(main()), Done)
+
+
+@pytest.mark.parametrize(
+    ('last', 'kind'),
+    [
+        (None, Kind.FAILOVER),
+        (record(Phase.DONE, term=1, ceiling=0), Kind.FAILOVER),
+        (record(Phase.DONE, term=2), None),
+        (record(Phase.ABANDONED, term=2), Kind.FAILOVER),
+    ],
+)
+def test_a_primary_that_was_replaced_is_not_replaced_again(last, kind):
+    async def main():
+        async with world(nodes=1) as made:
+            board = Board(lambda _: None)
+            if last is not None:
+                content = encode(last)
+                board.take([Event(takeover_key(GROUP), content, 1)])
+            suspicion = Suspicion('e1', Term(1))
+            key = suspect_key(GROUP, 'n2')
+            board.take([Event(key, encode(suspicion), 2)])
+            nodes = SimpleNamespace(alive=frozenset(('n1', 'n2')))
+            tools = SimpleNamespace(board=board, fleet=nodes, node='n1')
+            group = made.nodes['n1']._view.groups[GROUP]
+            suspecting = SimpleNamespace(suspicion=suspicion)
+            return Supervision(tools, group, None, suspecting).need()
+
+    assert run(main()) is kind
+
+
+def test_fences_of_takeovers_that_run_at_once_never_go_down():
+    async def main():
+        async with world(nodes=0) as made:
+            claimers = []
+            for name in ('n1', 'n2'):
+                board = Board(lambda _: None)
+                claims = Claims(VmId(name), board, made.store)
+                claimers.append((board, claims))
+            (board, first), (_, second) = claimers
+            early = await first.claim(GROUP, Kind.HANDOVER, 'e1', Term(1))
+            seen, _ = await made.store.list_prefix('')
+            claimers[1][0].take(
+                [Event(one.key, one.content, one.revision) for one in seen],
+            )
+            other = GroupName('h')
+            late = await second.claim(other, Kind.HANDOVER, 'e4', Term(1))
+            late = await second.advance(late, Phase.ORDERED, 'e5')
+            unaware = await first.advance(early, Phase.ORDERED, 'e2')
+            duty = await made.store.get(DUTY_KEY)
+            board.take([Event(DUTY_KEY, duty.content, duty.revision)])
+            aware = await first.advance(early, Phase.ORDERED, 'e2')
+            return late, unaware, aware
+
+    late, unaware, aware = run(main())
+    assert unaware is None
+    assert aware.fence > late.fence
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/direct_table.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/direct_table.py
@@ -49,7 +49,7 @@
         _DIRECT / 'takeover/claims.py',
         '                Compare(DUTY_KEY, self._board.duty_revision),\n',
         '',
-        _MECHANISMS,
+        _TAKEOVER,
     ),
     Mutant(
         'direct: takeovers are learnt before a lease proves',
