Statements reach a group through an executor port

Cause: statements are to run on connections of another node as well, and sessions are to know their caller's workspace. Change: StatementRequest holds what a statement needs wherever it runs; LocalExecutor runs it on this node's connections. Sessions take a context with the functions that resolve, identify and admit. Types for workspaces, keys and rate limits. No behaviour changes.

--- a/packages/cowslipfork-direct/src/cowslipfork_direct/link.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/link.py
@@ -8,7 +8,7 @@
 from typing import Protocol
 
 from cowslipfork.errors import CowslipforkError
-from cowslipfork.ids import EndpointId, GroupName, Mark, Term
+from cowslipfork.ids import EndpointId, GroupName, Mark, Term, WorkspaceName
 from cowslipfork_direct.commands import Command
 from cowslipfork_direct.relay import Address
 
@@ -209,12 +209,15 @@
         group: group of the endpoint.
         host: IP address.
         port: TCP port.
+        workspace: workspace that the connection serves, which the endpoint is
+            told; None for connections that no workspace owns.
     """
 
     endpoint: EndpointId
     group: GroupName
     host: str
     port: int
+    workspace: WorkspaceName | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/node.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/node.py
@@ -9,13 +9,14 @@
 from dataclasses import dataclass
 from typing import Any, Final
 
-from cowslipfork.ids import FailureDomain, GroupName, VmId
+from cowslipfork.ids import FailureDomain, GroupName, VmId, WorkspaceName
 from cowslipfork.limits import RetryBudget
 from cowslipfork.outcomes import NotRun, Reason
 from cowslipfork.store import Event, LeasingStore, StoreEra
 from cowslipfork_direct.endpoint import Endpoint
 from cowslipfork_direct.endpoint_monitor import EndpointMonitor
 from cowslipfork_direct.era_settlement import EraSettlement
+from cowslipfork_direct.execution import LocalExecutor, StatementExecutor
 from cowslipfork_direct.fleet import Fleet
 from cowslipfork_direct.group import Group
 from cowslipfork_direct.link import Network
@@ -25,7 +26,7 @@
 from cowslipfork_direct.relay import Address
 from cowslipfork_direct.rerouting import ReroutedStore
 from cowslipfork_direct.routes import DatabaseName, Route
-from cowslipfork_direct.session import Session
+from cowslipfork_direct.session import Session, SessionContext
 from cowslipfork_direct.store_era import EraTracker
 from cowslipfork_direct.store_watcher import StoreWatcher
 from cowslipfork_direct.subscriptions import (
@@ -162,10 +163,17 @@
             ),
         )
         self._eras.listen(self._on_new_era)
-        self._services: dict[GroupName, Service] = {}
+        self._executors: dict[GroupName, StatementExecutor] = {}
         self._suspicion_reporters: list[SuspicionReporter] = []
         self._takeover_handlers: dict[GroupName, TakeoverHandler] = {}
         self._tasks: set[asyncio.Task[None]] = set()
+        self._session_context = SessionContext(
+            self._resolve,
+            lambda: self._view.table.transaction_idle,
+            lambda _: None,
+            _admit_always,
+            self._metrics,
+        )
         self._metrics.add_gauge(
             'waiting',
             'Statements that wait for a connection.',
@@ -218,11 +226,7 @@
         if self._view.route(database) is None:
             detail = f'no route for database "{database}"'
             return NotRun(Reason.UNKNOWN_GROUP, detail=detail)
-        return Session(
-            self._resolve,
-            lambda: self._view.table.transaction_idle,
-            database,
-        )
+        return Session(self._session_context, database)
 
     async def _wait_until_configured(self) -> None:
         await self._view.configured.wait()
@@ -271,12 +275,14 @@
     def _relays(self) -> list[Address]:
         return self._fleet.relays(self._name)
 
-    def _resolve(self, database: DatabaseName) -> tuple[Route, Service] | None:
+    def _resolve(
+        self, database: DatabaseName
+    ) -> tuple[Route, StatementExecutor] | None:
         route = self._view.route(database)
         if route is None:
             return None
         self._view.get_or_create_group(route.group)
-        return route, self._services[route.group]
+        return route, self._executors[route.group]
 
     def _on_added(self, added: Group | Endpoint) -> None:
         if isinstance(added, Endpoint):
@@ -298,12 +304,14 @@
         takeover_handler = TakeoverHandler(
             self._name, group, self._takeover_cache, store
         )
-        self._services[group.name] = Service(
-            group,
-            endpoint_monitor,
-            RetryBudget(RETRY_RATIO),
-            self._failure_domain,
-            self._metrics,
+        self._executors[group.name] = LocalExecutor(
+            Service(
+                group,
+                endpoint_monitor,
+                RetryBudget(RETRY_RATIO),
+                self._failure_domain,
+                self._metrics,
+            )
         )
         self._takeover_handlers[group.name] = takeover_handler
         cached = self._takeover_cache.takeover(group.name)
@@ -378,3 +386,7 @@
         task = asyncio.create_task(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+
+
+async def _admit_always(_: WorkspaceName) -> None:
+    """Admits an operation of a workspace without a rate limit."""
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/routes.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/routes.py
@@ -7,10 +7,13 @@
 from typing import NewType
 
 from cowslipfork.configuration import ReadingRule
-from cowslipfork.ids import GroupName, Revision
+from cowslipfork.ids import GroupName, Revision, WorkspaceName
 
 DatabaseName = NewType('DatabaseName', str)
 
+#: Digest of a caller's key; the key itself is kept nowhere.
+KeyDigest = NewType('KeyDigest', bytes)
+
 
 @dataclass(frozen=True, slots=True)
 class Route:
@@ -24,6 +27,7 @@
         latency_goal: seconds within which an operation should be answered.
         priority: 0 is the most urgent.
         revision: revision of the configuration that the route comes from.
+        auth_exempt: whether callers need no valid key.
     """
 
     database: DatabaseName
@@ -33,6 +37,7 @@
     latency_goal: float
     priority: int
     revision: Revision
+    auth_exempt: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,6 +54,37 @@
     synchronous_replicas: int
 
 
+@dataclass(frozen=True, slots=True)
+class RateLimit:
+    """Token bucket of a workspace's operations over all nodes.
+
+    Attributes:
+        rate: operations per second.
+        burst: most operations that may have been saved up.
+    """
+
+    rate: float
+    burst: float
+
+
+@dataclass(frozen=True, slots=True)
+class Workspace:
+    """The configuration of one workspace.
+
+    Attributes:
+        name: name that endpoints are told.
+        keys: digests of the keys that identify its callers; none if all were
+            withdrawn.
+        priority: 0 is the most urgent.
+        rate_limit: limit of its operations; None for no limit.
+    """
+
+    name: WorkspaceName
+    keys: frozenset[KeyDigest]
+    priority: int = 0
+    rate_limit: RateLimit | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class RoutingTable:
     """One immutable revision of the configuration.
@@ -58,9 +94,11 @@
         routes: routes by database.
         groups: rules of groups by name.
         transaction_idle: seconds after which an idle transaction is aborted.
+        workspaces: workspaces by name; None if callers need no keys.
     """
 
     revision: Revision
     routes: Mapping[DatabaseName, Route] = field(default_factory=dict)
     groups: Mapping[GroupName, GroupRules] = field(default_factory=dict)
     transaction_idle: float = 30
+    workspaces: Mapping[WorkspaceName, Workspace] | None = None
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/session.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/session.py
@@ -4,10 +4,11 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 from typing import Final
 
-from cowslipfork.ids import Mark
+from cowslipfork.ids import Mark, WorkspaceName
 from cowslipfork.outcomes import Done, NotRun, Reason
 from cowslipfork_direct.answers import (
     ACCEPTED,
@@ -17,14 +18,26 @@
     outcome_name,
 )
 from cowslipfork_direct.clock import boot_time
+from cowslipfork_direct.execution import (
+    Executed,
+    ExecutedTransaction,
+    StatementExecutor,
+)
+from cowslipfork_direct.metrics import Metrics
 from cowslipfork_direct.routes import DatabaseName, Route
-from cowslipfork_direct.single import SingleStatement
 from cowslipfork_direct.statements import Prepared, Statement, Verb
-from cowslipfork_direct.transaction import Transaction
-from cowslipfork_direct.work import ServedStatement, Service
+from cowslipfork_direct.work import StatementRequest
+
+#: Returns the current route of a database and the executor of its group.
+RouteResolver = Callable[[DatabaseName], tuple[Route, StatementExecutor] | None]
 
-#: Returns the current route of a database and the service of its group.
-RouteResolver = Callable[[DatabaseName], tuple[Route, Service] | None]
+#: Returns the workspace of the session's caller for a route, None if the route
+#: needs none, or why the caller may not use the route.
+Identify = Callable[[Route], WorkspaceName | NotRun | None]
+
+#: Waits until a workspace may start another operation; returns the refusal if
+#: its rate limit does not allow that now.
+Admit = Callable[[WorkspaceName], Awaitable[NotRun | None]]
 
 log = logging.getLogger(__name__)
 
@@ -33,32 +46,47 @@
 )
 
 
+@dataclass(frozen=True, slots=True)
+class SessionContext:
+    """What a session uses of its node.
+
+    Attributes:
+        resolve: finds the route, once for each transaction or single
+            statement.
+        idle_limit: returns the longest idle time of a transaction in seconds.
+        identify: tells the workspace of the caller; asked again for each
+            statement, since keys may be withdrawn.
+        admit: applies the rate limit of a workspace, once for each
+            transaction or single statement.
+        metrics: metrics of the node.
+    """
+
+    resolve: RouteResolver
+    idle_limit: Callable[[], float]
+    identify: Identify
+    admit: Admit
+    metrics: Metrics
+
+
 class Session:
     """Runs a caller's statements and keeps its state between them."""
 
-    def __init__(
-        self,
-        resolve: RouteResolver,
-        idle_limit: Callable[[], float],
-        database: DatabaseName,
-    ) -> None:
+    def __init__(self, context: SessionContext, database: DatabaseName) -> None:
         """Starts outside of a transaction, without values or statements.
 
         Args:
-            resolve: finds the route, once for each transaction or single
-                statement.
-            idle_limit: returns the longest idle time of a transaction in
-                seconds.
+            context: what it uses of its node.
             database: database that the caller connected to.
         """
-        self._resolve = resolve
-        self._idle_limit = idle_limit
+        self._context = context
         self._database = database
         self._values: dict[str, str] = {}
         self._prepared: dict[str, Prepared] = {}
         self._mark: Mark | None = None
-        self._transaction: Transaction | None = None
-        self._resolved: tuple[Route, Service] | None = None
+        self._transaction: ExecutedTransaction | None = None
+        self._transaction_failed = False
+        self._admitted = False
+        self._resolved: tuple[Route, StatementExecutor] | None = None
         self._abort_cause: str | None = None
 
     @property
@@ -69,14 +97,14 @@
     @property
     def transaction_idle(self) -> float:
         """Seconds after which an idle transaction must be aborted."""
-        return self._idle_limit()
+        return self._context.idle_limit()
 
     @property
     def state(self) -> SessionState:
         """Transaction state of the session."""
         if self._transaction is None:
             return SessionState.IDLE
-        if self._transaction.failed:
+        if self._transaction_failed:
             return SessionState.FAILED_TRANSACTION
         return SessionState.IN_TRANSACTION
 
@@ -105,10 +133,9 @@
         Args:
             cause: detail of that refusal.
         """
-        transaction = self._transaction
-        if transaction is not None and not transaction.failed:
+        if self.state is SessionState.IN_TRANSACTION:
             self._abort_cause = cause
-            await transaction.fail()
+            await self._fail_transaction()
 
     async def close(self) -> None:
         """Ends the session; an open transaction is rolled back."""
@@ -147,12 +174,18 @@
     def _begin(self, statement: Statement) -> DirectOutcome:
         if self._transaction is not None:
             return _bad_request('a transaction is already open')
-        resolved = self._resolve(self._database)
+        resolved = self._context.resolve(self._database)
         if resolved is None:
             return self._no_route()
+        route, executor = resolved
+        workspace = self._context.identify(route)
+        if isinstance(workspace, NotRun):
+            return workspace
         read_only = statement.verb is Verb.BEGIN_READ_ONLY
         self._resolved = resolved
-        self._transaction = Transaction(read_only=read_only)
+        self._transaction = executor.begin(read_only=read_only)
+        self._transaction_failed = False
+        self._admitted = False
         return ACCEPTED
 
     async def _run_data(self, statement: Statement) -> DirectOutcome:
@@ -161,26 +194,77 @@
             if statement.verb is Verb.COMMIT:
                 refusal = _bad_request('no transaction is open')
                 return self._log_refusal(statement, refusal)
-            self._resolved = self._resolve(self._database)
-        prepared = self._prepared.get(statement.name)
+            self._resolved = self._context.resolve(self._database)
+            self._admitted = False
         if self._resolved is None:
             return self._log_refusal(statement, self._no_route())
-        if statement.verb is Verb.EXECUTE and prepared is None:
-            detail = f'prepared statement "{statement.name}" does not exist'
-            return self._log_refusal(statement, _bad_request(detail))
-        served = self._build_served_statement(
-            statement, prepared, *self._resolved
+        route, executor = self._resolved
+        request = await self._admit(statement, route)
+        if isinstance(request, NotRun):
+            if request.reason is not Reason.BAD_REQUEST:
+                await self._fail_transaction()
+            return self._log_refusal(statement, request)
+        executed = (
+            await executor.run_single(request)
+            if transaction is None
+            else await transaction.run(request)
         )
-        if transaction is None:
-            outcome = await self._run_single(served)
-        else:
-            outcome = await transaction.run(served)
-            if statement.verb is Verb.COMMIT:
-                self._after_commit(transaction)
+        await self._record_executed(statement, executed)
         self._log_outcome(
-            served, outcome, in_transaction=transaction is not None
+            request, executed, in_transaction=transaction is not None
+        )
+        return executed.outcome
+
+    async def _admit(
+        self, statement: Statement, route: Route
+    ) -> StatementRequest | NotRun:
+        """Builds the request of a statement that may run.
+
+        Args:
+            statement: the caller's statement.
+            route: route of its database.
+
+        Returns:
+            The request, or why the statement may not run.
+        """
+        prepared = self._prepared.get(statement.name)
+        if statement.verb is Verb.EXECUTE and prepared is None:
+            detail = f'prepared statement "{statement.name}" does not exist'
+            return _bad_request(detail)
+        workspace = self._context.identify(route)
+        if isinstance(workspace, NotRun):
+            return workspace
+        arrived = boot_time()
+        deadline = asyncio.get_running_loop().time() + route.timeout
+        if workspace is not None and not self._admitted:
+            refusal = await self._context.admit(workspace)
+            if refusal is not None:
+                return refusal
+        self._admitted = True
+        return StatementRequest(
+            statement,
+            route,
+            self._values,
+            prepared if statement.verb is Verb.EXECUTE else None,
+            arrived,
+            deadline,
+            self._mark,
+            workspace,
         )
-        return outcome
+
+    async def _record_executed(
+        self, statement: Statement, executed: Executed
+    ) -> None:
+        """Updates the session's mark and transaction."""
+        done = isinstance(executed.outcome, Done)
+        if done:
+            self._advance_mark(executed.mark)
+        if self._transaction is None:
+            return
+        if statement.verb is Verb.COMMIT:
+            await self._end_transaction()
+        elif not done:
+            await self._fail_transaction()
 
     def _log_refusal(
         self,
@@ -202,66 +286,43 @@
 
     def _log_outcome(
         self,
-        served: ServedStatement,
-        outcome: DirectOutcome,
+        request: StatementRequest,
+        executed: Executed,
         *,
         in_transaction: bool,
     ) -> None:
         """Logs and counts an answered statement."""
-        verb = served.statement.verb.value
-        ended = outcome_name(outcome)
-        seconds = boot_time() - served.arrived
-        served.service.metrics.count_request(verb, ended, seconds)
+        verb = request.statement.verb.value
+        ended = outcome_name(executed.outcome)
+        seconds = boot_time() - request.arrived
+        self._context.metrics.count_request(verb, ended, seconds)
         log.info(
             'request',
             extra={
-                'id': served.statement.id,
+                'id': request.statement.id,
                 'database': self._database,
-                'revision': served.route.revision,
-                'group': served.service.group.name,
+                'revision': request.route.revision,
+                'group': request.route.group,
                 'verb': verb,
-                'writes': served.writes,
-                'max_age': served.max_age,
+                'writes': request.writes,
+                'max_age': request.max_age,
                 'in_transaction': in_transaction,
-                **served.trace.log_fields(),
+                **executed.log_fields,
                 'outcome': ended,
-                'detail': outcome_detail(outcome),
+                'detail': outcome_detail(executed.outcome),
             },
         )
 
-    def _build_served_statement(
-        self,
-        statement: Statement,
-        prepared: Prepared | None,
-        route: Route,
-        service: Service,
-    ) -> ServedStatement:
-        return ServedStatement(
-            statement,
-            route,
-            service,
-            self._values,
-            prepared if statement.verb is Verb.EXECUTE else None,
-            boot_time(),
-            asyncio.get_running_loop().time() + route.timeout,
-            self._mark,
-        )
-
-    async def _run_single(self, served: ServedStatement) -> DirectOutcome:
-        single = SingleStatement(served)
-        outcome = await single.serve()
-        if isinstance(outcome, Done):
-            self._advance_mark(single.mark)
-        return outcome
-
-    def _after_commit(self, transaction: Transaction) -> None:
-        self._advance_mark(transaction.mark)
-        self._transaction = None
-
     def _advance_mark(self, mark: Mark | None) -> None:
         if mark is not None and (self._mark is None or mark > self._mark):
             self._mark = mark
 
+    async def _fail_transaction(self) -> None:
+        """Rolls an open transaction back; only its end is accepted then."""
+        if self._transaction is not None:
+            self._transaction_failed = True
+            await self._transaction.end()
+
     async def _end_transaction(self) -> None:
         transaction = self._transaction
         self._transaction = None
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/transaction.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/transaction.py
@@ -76,16 +76,10 @@
         """
         self._read_only = read_only
         self._begun: BegunTransaction | None = None
-        self._failed = False
         self._mark: Mark | None = None
         self._retry_delays = retry_delays()
         self._last = NotRun(Reason.NO_PRIMARY, RETRY_AFTER_MS)
 
-    @property
-    def failed(self) -> bool:
-        """Whether it was rolled back and accepts no further statements."""
-        return self._failed
-
     @property
     def mark(self) -> Mark | None:
         """Mark of the commit; None before the commit."""
@@ -98,21 +92,15 @@
             served: the statement.
 
         Returns:
-            Its outcome. With any outcome but ``Done`` the transaction has
-            failed.
+            Its outcome. With any outcome but ``Done`` the transaction was
+            rolled back.
         """
         outcome = await self._run(served)
-        if not isinstance(outcome, Done):
-            await self.fail()
-        elif served.statement.verb is Verb.COMMIT:
+        committed = served.statement.verb is Verb.COMMIT
+        if committed or not isinstance(outcome, Done):
             await self.end()
         return outcome
 
-    async def fail(self) -> None:
-        """Rolls the transaction back and rejects further statements."""
-        self._failed = True
-        await self.end()
-
     async def end(self) -> None:
         """Rolls back what is not committed and returns the connection."""
         begun = self._begun
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/work.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/work.py
@@ -7,7 +7,7 @@
 from typing import Final
 
 from cowslipfork.configuration import AgeRule, RequestClass
-from cowslipfork.ids import ClassName, FailureDomain, Mark
+from cowslipfork.ids import ClassName, FailureDomain, Mark, WorkspaceName
 from cowslipfork.limits import RetryBudget
 from cowslipfork_direct.endpoint_monitor import EndpointMonitor
 from cowslipfork_direct.group import Group
@@ -46,13 +46,12 @@
 
 
 @dataclass(frozen=True, slots=True)
-class ServedStatement:
-    """One statement to serve.
+class StatementRequest:
+    """One statement to execute.
 
     Attributes:
         statement: the caller's statement.
         route: route of its database.
-        service: objects that serve its group.
         values: the caller's session values.
         prepared: definition of the statement that EXECUTE runs; None for
             other statements.
@@ -60,18 +59,17 @@
         deadline: loop time by which it must be answered.
         session_mark: highest mark of the session's writes; a read must show
             them.
-        trace: details of how the statement was served, for the log.
+        workspace: workspace of the caller; None without workspaces.
     """
 
     statement: Statement
     route: Route
-    service: Service
     values: Mapping[str, str]
     prepared: Prepared | None
     arrived: float
     deadline: float
     session_mark: Mark | None
-    trace: Trace = field(default_factory=Trace)
+    workspace: WorkspaceName | None = None
 
     @property
     def writes(self) -> bool:
@@ -91,10 +89,75 @@
             return None
         return rule.max_age
 
+
+@dataclass(frozen=True, slots=True)
+class ServedStatement:
+    """A statement that this node executes.
+
+    Attributes:
+        request: the statement.
+        service: objects that serve its group.
+        trace: details of how the statement was served, for the log.
+    """
+
+    request: StatementRequest
+    service: Service
+    trace: Trace = field(default_factory=Trace)
+
+    @property
+    def statement(self) -> Statement:
+        """The caller's statement."""
+        return self.request.statement
+
+    @property
+    def route(self) -> Route:
+        """Route of its database."""
+        return self.request.route
+
+    @property
+    def values(self) -> Mapping[str, str]:
+        """The caller's session values."""
+        return self.request.values
+
+    @property
+    def prepared(self) -> Prepared | None:
+        """Definition of the statement that EXECUTE runs."""
+        return self.request.prepared
+
+    @property
+    def arrived(self) -> float:
+        """Boot time of its arrival."""
+        return self.request.arrived
+
+    @property
+    def deadline(self) -> float:
+        """Loop time by which it must be answered."""
+        return self.request.deadline
+
+    @property
+    def session_mark(self) -> Mark | None:
+        """Highest mark of the session's writes."""
+        return self.request.session_mark
+
+    @property
+    def workspace(self) -> WorkspaceName | None:
+        """Workspace of the caller; None without workspaces."""
+        return self.request.workspace
+
+    @property
+    def writes(self) -> bool:
+        """Whether the statement changes data."""
+        return self.request.writes
+
+    @property
+    def max_age(self) -> float | None:
+        """Greatest age in seconds of what a read may return."""
+        return self.request.max_age
+
     @property
     def request_class(self) -> RequestClass:
         """Class of the statement in the group's queue."""
-        return request_class_of(self.route)
+        return request_class_of(self.request.route)
 
 
 def request_class_of(route: Route) -> RequestClass:
--- a/packages/cowslipfork/src/cowslipfork/outcomes.py
+++ b/packages/cowslipfork/src/cowslipfork/outcomes.py
@@ -38,7 +38,9 @@
     FORBIDDEN = 4716
     ALREADY_RECORDED = 4717
     UNKNOWN_GROUP = 4718
+    UNKNOWN_KEY = 4719
     OUTCOME_UNKNOWN = 4720
+    RATE_LIMITED = 4721
 
 
 @dataclass(frozen=True, slots=True)
