Fences count all eras of the store

Cause: after a restore of a copy older than the first record of an era, with all nodes restarted, nobody knew from which era to count: an order was sent with fence 60, the next one with 14 (tests/test_era_settlement.py, seen failing). Change: a first record counts from 0, the store's own number of the era; when the list of nodes began is a field of its own. Ruled out: counting from 0 whatever the record says, since nodes of the version before would then send lower fences during a roll; records that exist keep their count.

--- a/packages/cowslipfork-direct/src/cowslipfork_direct/era_settlement.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/era_settlement.py
@@ -14,7 +14,7 @@
 import asyncio
 import logging
 from collections.abc import Awaitable, Callable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Final
 
 import msgspec
@@ -51,11 +51,23 @@
 
     Attributes:
         era: the era.
-        first: era in which this system's first record was written.
+        first: era from which fencing tokens count eras. A first record says 0,
+            since a copy that is older than it would otherwise have the count
+            start again, below tokens that nobody remembers. Records of older
+            versions say the era that they found; their count goes on.
+        listed_since: era in which the first record was written; None in
+            records of older versions, where ``first`` is that era.
     """
 
     era: StoreEra
     first: StoreEra
+    listed_since: StoreEra | None = None
+
+    @property
+    def complete(self) -> bool:
+        """Whether the store has kept every record since the first one."""
+        first = self.first if self.listed_since is None else self.listed_since
+        return self.era == first
 
 
 class EraSettlement:
@@ -83,7 +95,7 @@
         self._on_settled = on_settled
         self._record: SettledEra | None = None
         self._revision = 0
-        self._first: StoreEra | None = None
+        self._first_seen: StoreEra | None = None
         self._since: float | None = None
         self._settled_event = asyncio.Event()
         eras.listen(self._start_era)
@@ -103,11 +115,13 @@
     @property
     def records_complete(self) -> bool:
         """Whether the store has kept every record since the first one."""
-        return self.settled and self.eras_since_first == 0
+        if self._record is None:
+            return self.settled
+        return self.settled and self._record.complete
 
     @property
-    def eras_since_first(self) -> int:
-        """How many times the store has returned from an older copy."""
+    def era_count(self) -> int:
+        """Number of eras for fencing tokens; it never falls."""
         if self._record is None or self._eras.current is None:
             return 0
         return self._eras.current - self._record.first
@@ -140,9 +154,7 @@
         era = self._eras.current
         if era is None or self.settled:
             return
-        first = self._record.first if self._record else self._first
-        record = SettledEra(era, era if first is None else first)
-        content = msgspec.json.encode(record)
+        content = msgspec.json.encode(self._next_record(era))
         swapped = await self._store.swap(
             (Compare(ERA_KEY, self._revision),),
             (Put(ERA_KEY, content),),
@@ -151,8 +163,16 @@
             event = Event(ERA_KEY, content, swapped.revision)
             self._apply_events([event])
 
+    def _next_record(self, era: StoreEra) -> SettledEra:
+        known = self._record
+        if known is not None:
+            return replace(known, era=era)
+        first_seen = era if self._first_seen is None else self._first_seen
+        return SettledEra(era, ONLY_ERA, first_seen)
+
     def _start_era(self, ended: StoreEra, _: StoreEra) -> None:
-        self._first = ended if self._first is None else self._first
+        if self._first_seen is None:
+            self._first_seen = ended
         self._since = boot_time()
         self._revision = 0
 
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/node.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/node.py
@@ -124,7 +124,7 @@
             identity.name,
             self._takeover_cache,
             self._store,
-            lambda: self._settlement.eras_since_first,
+            lambda: self._settlement.era_count,
         )
         self._settlement = EraSettlement(
             self._store, self._eras, claims.write_lost, self._on_era_settled
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/claims.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/claims.py
@@ -70,7 +70,7 @@
         node: VmId,
         takeover_cache: TakeoverCache,
         store: LeasingStore,
-        eras_since_first: Callable[[], int],
+        era_count: Callable[[], int],
     ) -> None:
         """Starts without a claim.
 
@@ -79,13 +79,13 @@
             takeover_cache: cache of the takeover records; updated after
                 each write.
             store: store of the records.
-            eras_since_first: returns how many times the store has returned
+            era_count: returns how many times the store has returned
                 from an older copy.
         """
         self._node = node
         self._takeover_cache = takeover_cache
         self._store = store
-        self._eras_since_first = eras_since_first
+        self._era_count = era_count
 
     async def claim(
         self,
@@ -234,7 +234,7 @@
         Args:
             duty_revision: revision of the holder's record.
         """
-        return (self._eras_since_first() << REVISION_BITS) + duty_revision
+        return (self._era_count() << REVISION_BITS) + duty_revision
 
     def _holds_duty(self) -> bool:
         duty = self._takeover_cache.duty
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/direct_table.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/direct_table.py
@@ -125,10 +125,17 @@
     Mutant(
         'direct: fences rise across eras of the store',
         _DIRECT / 'takeover/claims.py',
-        '(self._eras_since_first() << REVISION_BITS) + duty_revision',
+        '(self._era_count() << REVISION_BITS) + duty_revision',
         'duty_revision',
         _RESTORE,
     ),
+    Mutant(
+        'direct: fences count all eras of the store',
+        _DIRECT / 'era_settlement.py',
+        'SettledEra(era, ONLY_ERA, first_seen)',
+        'SettledEra(era, first_seen, first_seen)',
+        f'{_TESTS}/test_era_settlement.py',
+    ),
     Mutant(
         'direct: no takeover is claimed in an unsettled era',
         _DIRECT / 'takeover/primary_supervisor.py',
