A node that runs no statement of a group leaves its endpoints alone

Cause: where nodes outnumber the connections of an endpoint, the status requests of idle nodes use up the connections that others need. Who watches over a primary is told by the context. Every node is required for now, so nothing changes yet. Result: tests of cowslipfork-direct pass; test_claims states the nodes that watch over the group where it stated the live ones.

--- a/packages/cowslipfork-direct/src/cowslipfork_direct/endpoint_monitor.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/endpoint_monitor.py
@@ -206,6 +206,7 @@
         """Inspects reachable endpoints without a known status."""
         while True:
             await self._group.uninspected.wait()
+            await self._group.activity.wait()
             self._group.uninspected.clear()
             unknown = [
                 endpoint
@@ -224,6 +225,7 @@
         primary.
         """
         while True:
+            await self._group.activity.wait()
             change_event = self._group.change_event
             if self._group.leader is not None:
                 await change_event.wait()
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/execution.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/execution.py
@@ -85,6 +85,7 @@
 
     async def run_single(self, request: StatementRequest) -> Executed:
         """Runs a statement outside of a transaction."""
+        self._service.group.activity.record_use()
         served = ServedStatement(request, self._service)
         single = SingleStatement(served)
         outcome = await single.serve()
@@ -110,6 +111,7 @@
 
     async def run(self, request: StatementRequest) -> Executed:
         """Runs a statement or the COMMIT of the transaction."""
+        self._service.group.activity.record_use()
         served = ServedStatement(request, self._service)
         outcome = await self._transaction.run(served)
         fields = served.trace.log_fields()
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/group.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/group.py
@@ -10,6 +10,7 @@
 
 from cowslipfork.ids import EndpointId, GroupName, Mark, Term
 from cowslipfork.limits import SlotQueue
+from cowslipfork_direct.activity import Activity
 from cowslipfork_direct.clock import boot_time
 from cowslipfork_direct.endpoint import Endpoint
 from cowslipfork_direct.leader_lease import (
@@ -49,6 +50,7 @@
         queue: slots of the endpoints, with the requests that wait for them.
         leader_lease: time until which no other primary can exist.
         mark_history: marks of the primary over time.
+        activity: whether this node uses the endpoints.
     """
 
     def __init__(
@@ -73,6 +75,7 @@
         self.queue = SlotQueue({}, SPARE_LINKS)
         self.leader_lease = LeaderLease(now)
         self.mark_history = MarkHistory()
+        self.activity = Activity(self._begin_use, self._end_use)
         self._network = network
         self._relays = relays
         self._report_gap = report_gap
@@ -318,6 +321,16 @@
         if mark is not None and covered:
             self.mark_history.add_sample(begun, mark)
 
+    def _begin_use(self) -> None:
+        self._leaderless_since = asyncio.get_running_loop().time()
+        self._uninspected.set()
+
+    def _end_use(self) -> None:
+        """Closes idle connections and forgets statuses, which grow old."""
+        for endpoint in self._endpoints.values():
+            endpoint.drop_idle()
+            self.forget(endpoint.id)
+
     def _failing(self, name: EndpointId) -> bool:
         endpoint = self._endpoints.get(name)
         return endpoint is not None and endpoint.health.failing
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/node.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/node.py
@@ -139,6 +139,7 @@
             claims,
             adapters.promotions,
             self._metrics,
+            self._supervisors,
         )
         self._registration = Registration(
             identity.name,
@@ -284,6 +285,9 @@
         self._view.get_or_create_group(route.group)
         return route, self._executors[route.group]
 
+    def _supervisors(self, _: GroupName) -> frozenset[VmId]:
+        return self._fleet.alive | {self._name}
+
     def _on_added(self, added: Group | Endpoint) -> None:
         if isinstance(added, Endpoint):
             self._start(added.watch())
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/primary_supervisor.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/primary_supervisor.py
@@ -7,6 +7,7 @@
 import math
 from typing import Final
 
+from cowslipfork.ids import VmId
 from cowslipfork.weights import rendezvous_weight
 from cowslipfork_direct.clock import boot_time
 from cowslipfork_direct.endpoint_monitor import EndpointMonitor
@@ -71,6 +72,11 @@
         self._suspicion_reporter = suspicion_reporter
         self._last_takeover_at = -math.inf
 
+    @property
+    def _supervisors(self) -> frozenset[VmId]:
+        """Live nodes that watch over the group, perhaps without this one."""
+        return self._context.supervisors(self._group.name)
+
     async def run(self) -> None:
         """Claims and carries out takeovers until cancelled."""
         while True:
@@ -91,6 +97,8 @@
         if not self._context.settlement.settled:
             # An order of an earlier era may still be on its way.
             return None
+        if self._context.node not in self._supervisors:
+            return None
         cached = self._context.takeover_cache.takeover(self._group.name)
         if cached is not None and cached.takeover.under_way:
             return cached.takeover.kind if self._may_resume(cached) else None
@@ -120,15 +128,16 @@
     def _has_quorum(self, suspicion: Suspicion) -> bool:
         """Returns whether enough live nodes share a suspicion.
 
-        A majority must have lost contact with a primary before a failover. For
-        a failing primary one in ``FAILING_QUORUM_DIVISOR`` is enough, since a
-        handover costs little and only nodes that use the primary notice.
+        A majority of the nodes that watch over the group must have lost contact
+        with a primary before a failover. For a failing primary one in
+        ``FAILING_QUORUM_DIVISOR`` is enough, since a handover costs little and
+        only nodes that use the primary notice.
         """
         reported = self._context.takeover_cache.suspicions(self._group.name)
         agreeing = {
             node for node, other in reported.items() if other == suspicion
         } | {self._context.node}
-        alive = self._context.fleet.alive | {self._context.node}
+        alive = self._supervisors
         if suspicion.ill:
             recent = self._last_takeover_at + FAILING_COOLDOWN > boot_time()
             needed = min(
@@ -152,7 +161,7 @@
         The holder of the duty ranks first.
         """
         duty = self._context.takeover_cache.duty
-        alive = self._context.fleet.alive | {self._context.node}
+        alive = self._supervisors
         holder = duty.holder if duty else None
         if holder == self._context.node:
             return 0
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/takeover_context.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/takeover_context.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
-from cowslipfork.ids import VmId
+from cowslipfork.ids import GroupName, VmId
 from cowslipfork.store import LeasingStore
 from cowslipfork_direct.era_settlement import EraSettlement
 from cowslipfork_direct.fleet import Fleet
@@ -29,6 +30,8 @@
         claims: writes the takeover's record.
         promotions: sends promotion orders to the platform.
         metrics: counts the steps.
+        supervisors: returns the live nodes that watch over the primary of a
+            group: all of them, or its carriers.
     """
 
     node: VmId
@@ -40,3 +43,4 @@
     claims: Claims
     promotions: Promotions
     metrics: Metrics
+    supervisors: Callable[[GroupName], frozenset[VmId]]
--- a/packages/cowslipfork-direct/tests/takeover/test_claims.py
+++ b/packages/cowslipfork-direct/tests/takeover/test_claims.py
@@ -147,10 +147,9 @@
             suspicion = Suspicion('e1', Term(1))
             key = suspect_key(GROUP, 'n2')
             takeover_cache.apply_events([Event(key, encode(suspicion), 2)])
-            fleet = SimpleNamespace(alive=frozenset(('n1', 'n2')))
             context = SimpleNamespace(
                 takeover_cache=takeover_cache,
-                fleet=fleet,
+                supervisors=lambda _: frozenset(('n1', 'n2')),
                 settlement=SimpleNamespace(settled=True),
                 node='n1',
             )
