Nodes register their capacity; carriers of a group are chosen by it

Where endpoints accept fewer connections than there are nodes, only some nodes can hold connections. carriers.py chooses them by rendezvous weight among the nodes of large capacity, spread over failure domains, and divides an endpoint's connections among them. Registered gets failure_domain and capacity; entries of older nodes have neither, and older nodes ignore both fields. The settings cores, core_share, link_mbps, carriers and direct_connections are optional.

Nothing uses the choice yet: node.py is unchanged.

--- a/packages/cowslipfork-direct/src/cowslipfork_direct/fleet.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/fleet.py
@@ -9,9 +9,10 @@
 
 import msgspec
 
-from cowslipfork.ids import VmId
+from cowslipfork.ids import FailureDomain, VmId
 from cowslipfork.store import Event, LeaseId, StoreEra
 from cowslipfork.weights import rendezvous_weight
+from cowslipfork_direct.carriers import NodeTraits
 from cowslipfork_direct.relay import Address
 from cowslipfork_direct.store_watcher import Subscription
 
@@ -34,12 +35,23 @@
         incarnation: start of its process, in nanoseconds of its own clock.
         relay: address at which it relays connections of other nodes.
         era: era of the store in which the lease was granted; 0 if unknown.
+        failure_domain: set of VMs that fail together with the node; empty for
+            nodes of versions that do not report it.
+        capacity: processing capacity of the node in cores; 0 for nodes of
+            versions that do not report it.
     """
 
     lease: LeaseId
     incarnation: int
     relay: Address
     era: StoreEra = StoreEra(0)
+    failure_domain: FailureDomain = FailureDomain('')
+    capacity: float = 0
+
+    @property
+    def traits(self) -> NodeTraits:
+        """What the choice of carriers considers of the node."""
+        return NodeTraits(self.failure_domain, self.capacity)
 
 
 def node_key(node: VmId) -> str:
@@ -76,6 +88,20 @@
         """Nodes whose lease has not ended, as last seen in the store."""
         return frozenset(self._alive)
 
+    @property
+    def carrier_candidates(self) -> Mapping[VmId, NodeTraits]:
+        """Nodes that may be carriers.
+
+        These are the live ones, or all registered ones while the store shows
+        none as alive.
+        """
+        live = self._registered.keys() & self._alive
+        return {
+            node: registered.traits
+            for node, registered in self._registered.items()
+            if node in live or not live
+        }
+
     def relays(self, besides: VmId) -> list[Address]:
         """Returns the relays of the other nodes that are alive.
 
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/registration.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/registration.py
@@ -24,6 +24,7 @@
     StoreDown,
     backoff_delays,
 )
+from cowslipfork_direct.carriers import UNKNOWN_TRAITS, NodeTraits
 from cowslipfork_direct.clock import boot_time
 from cowslipfork_direct.fleet import (
     Fleet,
@@ -75,6 +76,7 @@
         eras: EraTracker,
         fleet: Fleet,
         hooks: RegistrationHooks,
+        traits: NodeTraits = UNKNOWN_TRAITS,
     ) -> None:
         """Starts without a registration; ``run`` registers the node.
 
@@ -86,6 +88,7 @@
                 it was granted: the store may give its id to another node.
             fleet: all nodes that the store lists.
             hooks: what the other parts of the node do meanwhile.
+            traits: what other nodes consider when they choose carriers.
         """
         self._node = node
         self._relay = relay
@@ -93,6 +96,7 @@
         self._eras = eras
         self._fleet = fleet
         self._hooks = hooks
+        self._traits = traits
         self._store_down = False
         self._lease: LeaseId | None = None
         self._incarnation = time.time_ns()
@@ -152,7 +156,14 @@
         era = self._eras.current
         self._record_answer()
         entry = msgspec.json.encode(
-            Registered(lease, self._incarnation, self._relay, era or ONLY_ERA),
+            Registered(
+                lease,
+                self._incarnation,
+                self._relay,
+                era or ONLY_ERA,
+                self._traits.failure_domain,
+                self._traits.capacity,
+            ),
         )
         await self._store.swap(
             (),
--- a/packages/cowslipfork/src/cowslipfork/configuration/direct.py
+++ b/packages/cowslipfork/src/cowslipfork/configuration/direct.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import Final
 
 from expression import Error, Ok, Result
 
@@ -17,6 +18,9 @@
 
 HostPort = tuple[str, int]
 
+#: Bandwidth in Mbit/s for which a link needs the capacity of one core.
+MBPS_PER_CORE: Final = 20
+
 
 @dataclass(frozen=True, slots=True)
 class DirectSettings:
@@ -32,6 +36,12 @@
         grace: seconds between the signal to end and the kill.
         log_lines: lines a second for events of requests; others are always
             written while the output takes them.
+        cores: processor cores of the VM.
+        core_share: fraction of the cores that the process may use.
+        link_mbps: bandwidth of the VM's network in Mbit/s; 0 if unlimited.
+        carriers: nodes that hold the connections to a group.
+        direct_connections: least connections to an endpoint for each node
+            with which all nodes use the endpoints themselves.
     """
 
     vm: VmId
@@ -45,6 +55,19 @@
     grace: float = 10
     log_format: LogFormat = LogFormat.KEY_VALUE
     log_lines: int = 500
+    cores: float = 1
+    core_share: float = 1
+    link_mbps: float = 0
+    carriers: int = 3
+    direct_connections: float = 1
+
+    @property
+    def capacity(self) -> float:
+        """Processing capacity in cores, as far as the network can use it."""
+        usable = self.cores * self.core_share
+        if not self.link_mbps:
+            return usable
+        return min(usable, self.link_mbps / MBPS_PER_CORE)
 
 
 def _address_key(name: str, meaning: str) -> Key:
@@ -84,6 +107,36 @@
             '1 to 100000',
             'Lines a second for events of requests; more are counted only.',
         ),
+        Key(
+            'cores',
+            readers.fraction(0, 4096),
+            'number, 0 to 4096',
+            'Processor cores of the VM.',
+        ),
+        Key(
+            'core_share',
+            readers.fraction(0, 1),
+            'number, 0 to 1',
+            'Fraction of the cores that the process may use.',
+        ),
+        Key(
+            'link_mbps',
+            readers.fraction(0, 1_000_000),
+            'number, 0 to 1000000',
+            "Bandwidth of the VM's network in Mbit/s; 0 if unlimited.",
+        ),
+        Key(
+            'carriers',
+            readers.integer(1, 9),
+            '1 to 9',
+            'Nodes that hold the connections to a group.',
+        ),
+        Key(
+            'direct_connections',
+            readers.fraction(0, 100),
+            'number, 0 to 100',
+            'Connections to an endpoint for each node that need no carriers.',
+        ),
     ),
 )
 
--- a/packages/cowslipfork/tests/configuration/test_direct.py
+++ b/packages/cowslipfork/tests/configuration/test_direct.py
@@ -36,6 +36,50 @@
     assert 'did you mean "relay"' in problems
 
 
+def test_a_file_without_the_newer_keys_stays_valid():
+    """Guards against nodes that refuse their old settings after an update."""
+    settings = direct_settings(TEXT).ok
+    assert settings.carriers == 3
+    assert settings.direct_connections == 1
+    assert settings.capacity == 1
+
+
+@pytest.mark.parametrize(
+    ('cores', 'core_share', 'link_mbps', 'capacity'),
+    [
+        ('2.15', '1', '100', 2.15),
+        ('1', '0.5', '5', 0.25),
+        ('4', '0.25', '0', 1),
+        ('0', '1', '100', 0),
+    ],
+)
+def test_capacity_is_bounded_by_cores_and_link(
+    cores, core_share, link_mbps, capacity
+):
+    text = (
+        f'{TEXT}cores = {cores}\ncore_share = {core_share}\n'
+        f'link_mbps = {link_mbps}\n'
+    )
+    assert direct_settings(text).ok.capacity == capacity
+
+
+@pytest.mark.parametrize(
+    'line',
+    [
+        'carriers = 0',
+        'carriers = 10',
+        'direct_connections = -1',
+        'direct_connections = 101',
+        'core_share = 1.5',
+        'cores = many',
+        'link_mbps = nan',
+    ],
+)
+def test_values_out_of_range_are_refused(line):
+    problems = str(direct_settings(f'{TEXT}{line}\n').error)
+    assert line.partition(' ')[0] in problems
+
+
 @pytest.mark.parametrize(
     'text',
     ['', '[node]', '[other]\nvm = x', 'vm = x', '[node\nvm = x'],
