Peer links: requests and replies between nodes

Cause: statements, tokens of rate limits and other messages go from node to node, and each part adds messages of its own. Streams between nodes in memory for tests. Faults are not tested yet.

--- a/packages/cowslipfork-direct/src/cowslipfork_direct/relay.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/relay.py
@@ -1,16 +1,19 @@
-"""Relays other nodes' connections to endpoints and to the store.
+"""Accepts other nodes' connections; relays them to endpoints and to the store.
 
 A relayed connection starts with a message that names the target address and an
 answer whether the target was reached. After that, bytes are forwarded
 unchanged in both directions. The relay connects only to addresses that this
 node uses itself.
+
+A connection that starts with another message is a peer link, and is served
+elsewhere.
 """
 
 from __future__ import annotations
 
 import asyncio
 import logging
-from collections.abc import Callable, Collection
+from collections.abc import Awaitable, Callable, Collection
 from contextlib import suppress
 from dataclasses import dataclass
 from typing import Final
@@ -68,6 +71,12 @@
 
 Streams = tuple[asyncio.StreamReader, asyncio.StreamWriter]
 
+#: Serves a connection whose first line, the last argument, is not ``Hello``,
+#: until the connection ends.
+ServeLink = Callable[
+    [asyncio.StreamReader, asyncio.StreamWriter, bytes], Awaitable[None]
+]
+
 
 class RelayFailed(CowslipforkError):
     """A relay refused an address or could not connect to it."""
@@ -76,13 +85,19 @@
 class Relay:
     """Forwards bytes between other nodes and addresses that this one uses."""
 
-    def __init__(self, allowed: Callable[[], Collection[Address]]) -> None:
+    def __init__(
+        self,
+        allowed: Callable[[], Collection[Address]],
+        serve_link: ServeLink | None = None,
+    ) -> None:
         """Starts without connections; ``serve`` handles each of them.
 
         Args:
             allowed: returns the addresses that may be connected to now.
+            serve_link: serves peer links; None if they are refused.
         """
         self._allowed = allowed
+        self._serve_link = serve_link
 
     async def serve(
         self,
@@ -110,7 +125,21 @@
         line = await reader.readline()
         if not line:
             return
-        address = msgspec.json.decode(line, type=Hello).to
+        try:
+            address = msgspec.json.decode(line, type=Hello).to
+        except msgspec.ValidationError:
+            if self._serve_link is None:
+                raise
+            await self._serve_link(reader, writer, line)
+            return
+        await self._relay_to(address, reader, writer)
+
+    async def _relay_to(
+        self,
+        address: Address,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
         target = await self._reach(address)
         _send(writer, Reached(target is not None))
         if target is None:
--- a/packages/cowslipfork-direct/tests/fakes/direct_fakes/world.py
+++ b/packages/cowslipfork-direct/tests/fakes/direct_fakes/world.py
@@ -30,6 +30,7 @@
 from cowslipfork_direct.statements import Prepared, Statement, Verb
 from cowslipfork_direct.store_era import EraTracker
 from cowslipfork_direct.subscriptions import StoreSchema
+from direct_fakes.peer_streams import StreamNetwork
 from direct_fakes.servers import ONE_WAY, Database, FakeLink
 
 FRESH = DatabaseName('fresh')
@@ -165,6 +166,9 @@
         self.blocked_paths = set()
         #: Pairs of nodes that can't reach each other.
         self.node_partitions = set()
+        #: Streams between nodes; ``client`` and ``server`` add ends of peer
+        #: links to a node.
+        self.peer_network = StreamNetwork(ONE_WAY, self._partitioned)
         #: Promotion orders with the loop time of their arrival.
         self.orders = []
         #: Number of connections that servers accepted so far.
@@ -270,6 +274,7 @@
         with suppress(asyncio.CancelledError):
             await task
         self.nodes.pop(name)
+        self.peer_network.kill(name)
 
     async def order(self, order):
         """Accepts a promotion order as the platform does."""
@@ -287,13 +292,15 @@
     def reachable(self, node, name, via=None):
         server = self.servers[name]
         last = node if via is None else via.host
-        blocked = (node, last) in self.node_partitions or (
-            (last, node) in self.node_partitions
-        )
         return not (
-            blocked or server.blocked or (last, name) in self.blocked_paths
+            self._partitioned(node, last)
+            or server.blocked
+            or (last, name) in self.blocked_paths
         )
 
+    def _partitioned(self, one, other):
+        return bool({(one, other), (other, one)} & self.node_partitions)
+
     async def _open(self, node, target, via):
         name = EndpointId(target.endpoint)
         await asyncio.sleep(2 * ONE_WAY)
