--- a/packages/cowslipfork-direct/src/cowslipfork_direct/metrics.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/metrics.py
@@ -67,6 +67,12 @@
             ('ended',),
             registry=self._registry,
         )
+        self._forwarded = Counter(
+            'cowslipfork_forwarded',
+            'Statements forwarded to carriers by how that ended.',
+            ('outcome',),
+            registry=self._registry,
+        )
         self._takeovers = Counter(
             'cowslipfork_takeover_steps',
             'Steps of changes of primary that this node took.',
@@ -100,6 +106,10 @@
         """Counts a try of a statement by the name of its outcome."""
         self._tries.labels(ended).inc()
 
+    def count_forwarded(self, outcome: str) -> None:
+        """Counts a forwarded statement by outcome, or by how it failed."""
+        self._forwarded.labels(outcome).inc()
+
     def count_takeover_step(self, step: str) -> None:
         """Counts a step of a takeover that this node carried out."""
         self._takeovers.labels(step).inc()
