Nodes forward statements where connections do not suffice for all

Cause: where nodes outnumber the connections of an endpoint, each fights for connections that it holds for moments only. Change: Placement applies the choice of carriers to quotas, activity and to who watches over a primary; Node builds peer links, the carrier service and remote executors. What serves one group moves out of node.py into group_services.py. A node that leaves withdraws its leased key at once, so that others choose its successor. Deployments that need no carriers take the same paths as before.

--- a/packages/cowslipfork-direct/src/cowslipfork_direct/activity.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/activity.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable
 from typing import Final
 
@@ -32,7 +33,7 @@
         self._on_begin = on_begin
         self._on_end = on_end
         self._required = True
-        self._used_at = asyncio.get_running_loop().time()
+        self._used_at = -math.inf
         self._begun = asyncio.Event()
         self._begun.set()
         self._timer: asyncio.TimerHandle | None = None
@@ -57,7 +58,7 @@
         if required:
             self._begin()
         elif self.active and self._timer is None:
-            self._check_later()
+            self._check()
 
     def record_use(self) -> None:
         """Records that a statement is executed now."""
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/carriers.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/carriers.py
@@ -145,7 +145,11 @@
 
 
 def uses_carriers(
-    *, workspaces: bool, connections: int, nodes: int, direct_connections: int
+    *,
+    workspaces: bool,
+    connections: int,
+    nodes: int,
+    direct_connections: float,
 ) -> bool:
     """Returns whether statements of a group are forwarded to carriers.
 
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/group.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/group.py
@@ -202,7 +202,9 @@
         self.set_link_quota(self._link_quota)
         return added
 
-    def set_link_quota(self, links: int) -> None:
+    def set_link_quota(
+        self, links: int, statements_at_once: int | None = None
+    ) -> None:
         """Sets the connection quota of this node at each endpoint.
 
         Args:
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/node.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/node.py
@@ -5,25 +5,32 @@
 import asyncio
 import itertools
 import logging
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Any, Final
+from typing import Final
 
-from cowslipfork.ids import FailureDomain, GroupName, VmId, WorkspaceName
-from cowslipfork.limits import RetryBudget
+from cowslipfork.ids import FailureDomain, VmId, WorkspaceName
 from cowslipfork.outcomes import NotRun, Reason
 from cowslipfork.store import Event, LeasingStore, StoreEra
+from cowslipfork_direct.carriers import NodeTraits
 from cowslipfork_direct.endpoint import Endpoint
-from cowslipfork_direct.endpoint_monitor import EndpointMonitor
 from cowslipfork_direct.era_settlement import EraSettlement
-from cowslipfork_direct.execution import LocalExecutor, StatementExecutor
+from cowslipfork_direct.execution import StatementExecutor
 from cowslipfork_direct.fleet import Fleet
+from cowslipfork_direct.forwarding import (
+    CarrierService,
+    Forwarding,
+    RemoteExecutor,
+)
 from cowslipfork_direct.group import Group
+from cowslipfork_direct.group_services import GroupServices
 from cowslipfork_direct.link import Network
 from cowslipfork_direct.metrics import Metrics
+from cowslipfork_direct.peers import Dial, PeerClient, PeerServer
+from cowslipfork_direct.placement import Placement
 from cowslipfork_direct.promotion import Promotions
 from cowslipfork_direct.registration import Registration, RegistrationHooks
-from cowslipfork_direct.relay import Address
+from cowslipfork_direct.relay import Address, dial
 from cowslipfork_direct.rerouting import ReroutedStore
 from cowslipfork_direct.routes import DatabaseName, Route
 from cowslipfork_direct.session import Session, SessionContext
@@ -37,21 +44,14 @@
 from cowslipfork_direct.takeover import (
     TAKEOVERS_PREFIX,
     Claims,
-    PrimarySupervisor,
-    SuspicionReporter,
     Takeover,
     TakeoverCache,
     TakeoverContext,
-    TakeoverHandler,
 )
 from cowslipfork_direct.view import View
-from cowslipfork_direct.work import Service
 
 log = logging.getLogger(__name__)
 
-#: Retries allowed for each first try.
-RETRY_RATIO: Final = 0.5
-
 #: Seconds for which a new caller may wait for the first configuration.
 CONFIGURATION_WAIT: Final = 1.5
 
@@ -70,6 +70,7 @@
         network: opens connections to endpoints.
         promotions: sends promotion orders.
         eras: newest era of the store, which its clients report.
+        dial: opens connections to other nodes.
     """
 
     store: Callable[[Address | None], LeasingStore]
@@ -77,6 +78,7 @@
     network: Network
     promotions: Promotions
     eras: EraTracker
+    dial: Dial = dial
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,28 +89,48 @@
         name: VM that the node runs on.
         failure_domain: set of VMs that may fail together with this one.
         relay: address of its relay for other nodes' connections.
+        capacity: processing capacity of the VM in cores.
     """
 
     name: VmId
     failure_domain: FailureDomain
     relay: Address
+    capacity: float = 1
+
+
+@dataclass(frozen=True, slots=True)
+class CarrierOptions:
+    """Settings of the choice of carriers.
+
+    Attributes:
+        count: wanted number of carriers of a group.
+        direct_connections: least connections to an endpoint for each node with
+            which all nodes use the endpoints themselves.
+    """
+
+    count: int = 3
+    direct_connections: float = 1
 
 
 class Node:
     """Everything that serves callers, except for their protocol."""
 
     def __init__(
-        self, adapters: PlatformAdapters, identity: NodeIdentity
+        self,
+        adapters: PlatformAdapters,
+        identity: NodeIdentity,
+        options: CarrierOptions | None = None,
     ) -> None:
         """Creates and connects the parts; ``run`` starts them.
 
         Args:
             adapters: adapters of the platform.
             identity: name, failure domain and relay address of this node.
+            options: settings of the choice of carriers; None for defaults.
         """
+        options = options or CarrierOptions()
         self._adapters = adapters
         self._name = identity.name
-        self._failure_domain = identity.failure_domain
         self._eras = adapters.eras
         self._store = ReroutedStore(adapters.store, self._relays)
         self._metrics = Metrics()
@@ -118,7 +140,14 @@
             self._metrics,
             self._on_added,
         )
-        self._fleet = Fleet(self._divide_connections)
+        self._fleet = Fleet(self._on_nodes_changed)
+        self._placement = Placement(
+            identity.name,
+            self._fleet,
+            self._view,
+            options.count,
+            options.direct_connections,
+        )
         self._takeover_cache = TakeoverCache(self._on_takeover)
         claims = Claims(
             identity.name,
@@ -139,7 +168,7 @@
             claims,
             adapters.promotions,
             self._metrics,
-            self._supervisors,
+            self._placement.supervisors,
         )
         self._registration = Registration(
             identity.name,
@@ -152,6 +181,21 @@
                 self._extend_leader_leases,
                 lambda: self._store_watcher.restart_watch(),
             ),
+            NodeTraits(identity.failure_domain, identity.capacity),
+        )
+        self._services = GroupServices(
+            self._context,
+            identity.failure_domain,
+            lambda: self._registration.lease,
+        )
+        self._peers = PeerClient(identity.name, self._find_relay, adapters.dial)
+        self._peer_server = PeerServer(identity.name)
+        self._carrier_service = CarrierService(
+            self._services.executor, lambda: self.configured
+        )
+        self._carrier_service.register(self._peer_server)
+        self._forwarding = Forwarding(
+            self._peers, self._placement.table, self._metrics
         )
         self._store_watcher = StoreWatcher(
             self._store,
@@ -164,10 +208,6 @@
             ),
         )
         self._eras.listen(self._on_new_era)
-        self._executors: dict[GroupName, StatementExecutor] = {}
-        self._suspicion_reporters: list[SuspicionReporter] = []
-        self._takeover_handlers: dict[GroupName, TakeoverHandler] = {}
-        self._tasks: set[asyncio.Task[None]] = set()
         self._session_context = SessionContext(
             self._resolve,
             lambda: self._view.table.transaction_idle,
@@ -187,6 +227,12 @@
             'endpoint',
             self._connections_by_endpoint,
         )
+        self._metrics.add_gauge(
+            'peer_links',
+            'Open links between this node and others.',
+            'opened_by',
+            self._peer_links,
+        )
 
     @property
     def configured(self) -> bool:
@@ -242,14 +288,24 @@
                 tasks.create_task(self._registration.run())
                 tasks.create_task(self._settlement.run())
         finally:
-            for task in self._tasks:
-                task.cancel()
+            self._close()
 
-    async def leave(self) -> None:
-        """Removes this node from the store.
+    def start_leaving(self) -> None:
+        """Has other nodes send no new statements to this one."""
+        self._carrier_service.leave(self._peer_server)
+        if self._placement.any_carriers:
+            self._registration.withdraw()
+
+    async def leave(self, until: float) -> None:
+        """Ends the work for other nodes and removes this one from the store.
 
         The node must not serve callers any more.
+
+        Args:
+            until: loop time at which other nodes' transactions are rolled
+                back.
         """
+        await self._carrier_service.drain(until)
         await self._registration.deregister()
 
     def endpoint_addresses(self) -> frozenset[Address]:
@@ -262,6 +318,32 @@
             for endpoint in endpoints
         )
 
+    def _close(self) -> None:
+        self._services.close()
+        self._peers.close()
+        self._peer_server.close()
+
+    async def serve_peer(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        hello: bytes,
+    ) -> None:
+        """Serves the link of another node until it ends.
+
+        Args:
+            reader: reader of the connection, after the first line.
+            writer: writer of the connection.
+            hello: the first line.
+        """
+        await self._peer_server.serve(reader, writer, hello)
+
+    def _peer_links(self) -> dict[str, float]:
+        return {
+            'this_node': self._peers.open_links,
+            'others': self._peer_server.open_links,
+        }
+
     def _waiting_by_group(self) -> dict[str, float]:
         groups = self._view.groups.values()
         return {group.name: group.queue.waiting for group in groups}
@@ -283,59 +365,27 @@
         if route is None:
             return None
         self._view.get_or_create_group(route.group)
-        return route, self._executors[route.group]
+        local = self._services.executor(route.group)
+        if local is None:
+            return None
+        if not self._placement.has_carriers(route.group):
+            return route, local
+        return route, RemoteExecutor(self._forwarding, local)
 
-    def _supervisors(self, _: GroupName) -> frozenset[VmId]:
-        return self._fleet.alive | {self._name}
+    def _find_relay(self, node: VmId) -> Address | None:
+        registered = self._fleet.registered.get(node)
+        return None if registered is None else registered.relay
 
     def _on_added(self, added: Group | Endpoint) -> None:
+        self._services.add(added)
         if isinstance(added, Endpoint):
-            self._start(added.watch())
-        else:
-            self._serve_group(added)
-
-    def _serve_group(self, group: Group) -> None:
-        endpoint_monitor = EndpointMonitor(group)
-        store = self._store
-        suspicion_reporter = SuspicionReporter(
-            self._name,
-            group,
-            self._takeover_cache,
-            store,
-            lambda: self._registration.lease,
-        )
-        self._suspicion_reporters.append(suspicion_reporter)
-        takeover_handler = TakeoverHandler(
-            self._name, group, self._takeover_cache, store
-        )
-        self._executors[group.name] = LocalExecutor(
-            Service(
-                group,
-                endpoint_monitor,
-                RetryBudget(RETRY_RATIO),
-                self._failure_domain,
-                self._metrics,
-            )
-        )
-        self._takeover_handlers[group.name] = takeover_handler
-        cached = self._takeover_cache.takeover(group.name)
-        if cached is not None:
-            takeover_handler.apply(cached.takeover)
-        primary_supervisor = PrimarySupervisor(
-            self._context, group, endpoint_monitor, suspicion_reporter
-        )
-        for part in (
-            endpoint_monitor,
-            takeover_handler,
-            suspicion_reporter,
-            primary_supervisor,
-        ):
-            self._start(part.run())
+            self._placement.update()
 
     def _on_takeover(self, takeover: Takeover) -> None:
-        takeover_handler = self._takeover_handlers.get(takeover.group)
-        if takeover_handler is not None:
-            takeover_handler.apply(takeover)
+        self._services.apply_takeover(takeover)
+
+    def _on_nodes_changed(self) -> None:
+        self._placement.update()
 
     async def _load_takeovers(self) -> None:
         entries, _ = await self._store.list_prefix(TAKEOVERS_PREFIX)
@@ -360,8 +410,7 @@
         self._registration.start_era()
         self._takeover_cache.start_era()
         self._store_watcher.start_era()
-        for suspicion_reporter in self._suspicion_reporters:
-            suspicion_reporter.start_era()
+        self._services.start_era()
 
     def _on_era_settled(self) -> None:
         self._takeover_cache.settle_era()
@@ -378,19 +427,6 @@
         for group in self._view.groups.values():
             group.extend_lease_on_renewal(begun_at)
 
-    def _divide_connections(self) -> None:
-        """Divides each endpoint's connections evenly among the nodes."""
-        nodes = max(1, len(self._fleet.registered))
-        for group in self._view.groups.values():
-            rules = self._view.table.groups.get(group.name)
-            if rules is not None:
-                group.set_link_quota(max(1, rules.connections // nodes))
-
-    def _start(self, coroutine: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.create_task(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
 
 async def _admit_always(_: WorkspaceName) -> None:
     """Admits an operation of a workspace without a rate limit."""
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/registration.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/registration.py
@@ -100,6 +100,7 @@
         self._store_down = False
         self._lease: LeaseId | None = None
         self._incarnation = time.time_ns()
+        self._withdrawn = asyncio.Event()
 
     @property
     def lease(self) -> LeaseId | None:
@@ -110,8 +111,20 @@
         """Gives the lease up, which the store may have given to others."""
         self._lease = None
 
+    def withdraw(self) -> None:
+        """Has other nodes no longer count this one as alive.
+
+        It stays registered and renews its lease, since it may still serve.
+        """
+        self._withdrawn.set()
+
     async def run(self) -> None:
         """Registers and renews until cancelled."""
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self._stay_registered())
+            tasks.create_task(self._remove_alive_key())
+
+    async def _stay_registered(self) -> None:
         delays = backoff_delays(FIRST_RETRY_DELAY, MAX_RETRY_DELAY)
         while True:
             try:
@@ -186,6 +199,15 @@
         """Writes the leased key again if the store has dropped the key."""
         known = self._node in self._fleet.registered
         missing = known and self._node not in self._fleet.alive
+        missing = missing and not self._withdrawn.is_set()
         if missing and self._lease is not None:
             key = alive_key(self._node)
             await self._store.swap((), (Put(key, b'', self._lease),))
+
+    async def _remove_alive_key(self) -> None:
+        """Removes the leased key once the node withdraws."""
+        await self._withdrawn.wait()
+        try:
+            await self._store.swap((), (Put(alive_key(self._node), None),))
+        except StoreDown as error:
+            log.info('withdrawal_failed', extra={'cause': str(error)})
--- a/packages/cowslipfork-direct/tests/fakes/direct_fakes/world.py
+++ b/packages/cowslipfork-direct/tests/fakes/direct_fakes/world.py
@@ -20,7 +20,7 @@
 from cowslipfork_direct.link import LinkRefused, Network, ReplyCode
 from cowslipfork_direct.node import Node, NodeIdentity, PlatformAdapters
 from cowslipfork_direct.promotion import OrderResult
-from cowslipfork_direct.relay import Address
+from cowslipfork_direct.relay import Address, Relay
 from cowslipfork_direct.routes import (
     DatabaseName,
     GroupRules,
@@ -260,9 +260,12 @@
                 ),
                 self,
                 eras,
+                self.peer_network.dialer(name),
             ),
             NodeIdentity(VmId(name), FailureDomain(domain), Address(name, 1)),
         )
+        relay = Relay(tuple, node.serve_peer)
+        self.peer_network.listen(name, relay.serve)
         self.nodes[name] = node
         self._tasks[name] = asyncio.create_task(node.run())
         return node
--- a/packages/cowslipfork-direct/tests/test_activity.py
+++ b/packages/cowslipfork-direct/tests/test_activity.py
@@ -29,6 +29,7 @@
 def test_each_use_keeps_a_node_active_for_a_while():
     async def main():
         activity, events = _recorded()
+        activity.record_use()
         activity.require(required=False)
         await asyncio.sleep(LINGER - 1)
         activity.record_use()
