Peer links under faults

Cause: lost, frozen and leaving nodes, malformed lines and failing handlers had no tests; a relay kept the error of the first line for as long as a peer link lasted.

--- a/packages/cowslipfork-direct/src/cowslipfork_direct/relay.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/relay.py
@@ -125,14 +125,13 @@
         line = await reader.readline()
         if not line:
             return
-        try:
-            address = msgspec.json.decode(line, type=Hello).to
-        except msgspec.ValidationError:
-            if self._serve_link is None:
-                raise
+        hello = _decode_hello(line)
+        if hello is not None:
+            await self._relay_to(hello.to, reader, writer)
+        elif self._serve_link is not None:
             await self._serve_link(reader, writer, line)
-            return
-        await self._relay_to(address, reader, writer)
+        else:
+            log.info('relay_ended', extra={'cause': 'no address'})
 
     async def _relay_to(
         self,
@@ -206,6 +205,13 @@
     return reader, writer
 
 
+def _decode_hello(line: bytes) -> Hello | None:
+    """Returns the message of a relayed connection; None for another one."""
+    with suppress(msgspec.ValidationError):
+        return msgspec.json.decode(line, type=Hello)
+    return None
+
+
 def _decode_reached(line: bytes) -> bool:
     with suppress(msgspec.MsgspecError):
         return msgspec.json.decode(line, type=Reached).reached
--- a/packages/cowslipfork-direct/tests/fakes/direct_fakes/peer_fixture.py
+++ b/packages/cowslipfork-direct/tests/fakes/direct_fakes/peer_fixture.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 
 from cowslipfork_direct.peers import PeerReply, PeerRequest
-from direct_fakes.peer_streams import StreamNetwork
+from direct_fakes.peer_streams import POLL_INTERVAL, StreamNetwork
 from direct_fakes.world import run
 
 #: Seconds in one direction.
@@ -50,10 +51,24 @@
         return error
 
 
+async def available_after(client, node='n2'):
+    """Waits until a node is available; returns the seconds that it took."""
+    for step in itertools.count():
+        if client.available(node):
+            return step * POLL_INTERVAL
+        await asyncio.sleep(POLL_INTERVAL)
+
+
 def run_peers(main):
-    """Runs ``main(network, client, server)`` under virtual time."""
+    """Runs ``main(network, client, server)`` under virtual time.
+
+    An exception that nobody awaits fails the test.
+    """
+    unhandled = []
 
     async def start():
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _, context: unhandled.append(context))
         network = StreamNetwork(DELAY)
         server = network.server('n2')
         server.handle(Wait, wait)
@@ -64,4 +79,6 @@
             client.close()
             server.close()
 
-    return run(start())
+    result = run(start())
+    assert unhandled == []
+    return result
--- a/packages/cowslipfork-direct/tests/fakes/direct_fakes/peer_streams.py
+++ b/packages/cowslipfork-direct/tests/fakes/direct_fakes/peer_streams.py
@@ -109,8 +109,8 @@
         to_target = _Pipe(network, source, target, readers[target])
         to_source = _Pipe(network, target, source, readers[source])
         self._streams = {
-            source: (readers[source], FakeWriter(to_target, readers[source])),
-            target: (readers[target], FakeWriter(to_source, readers[target])),
+            source: (readers[source], FakeWriter(to_target, to_source)),
+            target: (readers[target], FakeWriter(to_source, to_target)),
         }
 
     def streams(self, node):
@@ -120,9 +120,7 @@
         """Ends both directions; the killed node's server stops."""
         if killed == self.ends[1]:
             self.serving.cancel()
-        reader, writer = self._streams[killed]
-        writer.reset()
-        reader.feed_eof()
+        self._streams[killed][1].reset()
 
 
 class _Pipe:
@@ -133,6 +131,7 @@
         self._ends = (source, target)
         self._reader = reader
         self._items = deque()
+        self._closed = False
         self._loop = asyncio.get_running_loop()
 
     @property
@@ -146,25 +145,33 @@
         self._items.append(item)
         self._loop.call_later(self._network.delay, self._deliver)
 
+    def close(self):
+        """Ends the receiving side; what arrives later is dropped."""
+        if not self._closed:
+            self._closed = True
+            self._reader.feed_eof()
+
     def _deliver(self):
         if self._network.holds_back(*self._ends):
             self._loop.call_later(POLL_INTERVAL, self._deliver)
             return
         item = self._items.popleft()
+        if self._closed:
+            return
         if item is None:
             self._reader.set_exception(ConnectionResetError('reset'))
         elif item:
             self._reader.feed_data(item)
         else:
-            self._reader.feed_eof()
+            self.close()
 
 
 class FakeWriter:
     """The part of ``StreamWriter`` and its transport that nodes use."""
 
-    def __init__(self, pipe, reader):
+    def __init__(self, pipe, incoming):
         self._pipe = pipe
-        self._reader = reader
+        self._incoming = incoming
         self._closed = False
 
     @property
@@ -185,20 +192,21 @@
         return self._closed
 
     def close(self):
-        if not self._closed:
-            self._closed = True
-            self._pipe.send(b'')
-            self._reader.feed_eof()
+        self._end(b'')
 
     abort = close
 
     def reset(self):
-        if not self._closed:
-            self._closed = True
-            self._pipe.send(None)
+        self._end(None)
 
     async def wait_closed(self):
         await asyncio.sleep(0)
 
     def get_write_buffer_size(self):
         return self._pipe.waiting
+
+    def _end(self, item):
+        if not self._closed:
+            self._closed = True
+            self._pipe.send(item)
+            self._incoming.close()
