Settings revoke_limit and revoke_fail_closed

Cause: a deployment says how long a withdrawn key may be accepted, and whether a node that cannot read the store must refuse callers.

--- a/packages/cowslipfork/src/cowslipfork/configuration/direct.py
+++ b/packages/cowslipfork/src/cowslipfork/configuration/direct.py
@@ -32,6 +32,10 @@
         grace: seconds between the signal to end and the kill.
         log_lines: lines a second for events of requests; others are always
             written while the output takes them.
+        revoke_limit: seconds after which a withdrawn key must not be
+            accepted.
+        revoke_fail_closed: whether all callers are refused once the store has
+            not answered for longer than ``revoke_limit``.
     """
 
     vm: VmId
@@ -45,6 +49,8 @@
     grace: float = 10
     log_format: LogFormat = LogFormat.KEY_VALUE
     log_lines: int = 500
+    revoke_limit: float = 5
+    revoke_fail_closed: bool = False
 
 
 def _address_key(name: str, meaning: str) -> Key:
@@ -84,6 +90,18 @@
             '1 to 100000',
             'Lines a second for events of requests; more are counted only.',
         ),
+        Key(
+            'revoke_limit',
+            readers.duration('100ms', '10m'),
+            'duration, 100ms to 10m',
+            'After this a withdrawn key must not be accepted any more.',
+        ),
+        Key(
+            'revoke_fail_closed',
+            readers.switch,
+            'yes | no',
+            'Whether callers are refused when the store is silent for longer.',
+        ),
     ),
 )
 
--- a/packages/cowslipfork/tests/configuration/test_direct.py
+++ b/packages/cowslipfork/tests/configuration/test_direct.py
@@ -42,3 +42,32 @@
 )
 def test_other_files_are_refused(text):
     assert direct_settings(text).is_error()
+
+
+@pytest.mark.parametrize(
+    ('lines', 'limit', 'fail_closed'),
+    [
+        ('', 5, False),
+        ('revoke_limit = 5000ms\n', 5, False),
+        ('revoke_limit = 2s\nrevoke_fail_closed = yes\n', 2, True),
+        ('\n\nrevoke_fail_closed = no\n\n', 5, False),
+    ],
+)
+def test_withdrawal_of_keys_is_set(lines, limit, fail_closed):
+    settings = direct_settings(TEXT + lines).ok
+    assert settings.revoke_limit == limit
+    assert settings.revoke_fail_closed is fail_closed
+
+
+@pytest.mark.parametrize(
+    'line',
+    [
+        'revoke_limit = 5',
+        'revoke_limit = ms',
+        'revoke_limit = 1h',
+        'revoke_fail_closed = perhaps',
+    ],
+)
+def test_a_wrong_setting_of_withdrawal_is_told(line):
+    problems = str(direct_settings(TEXT + line).error)
+    assert line.partition(' ')[0] in problems
