Workspaces: callers are identified by keys, withdrawn keys end

Cause: callers need a key from now on, and a configuration withdraws keys while sessions are open. Each statement is checked against the table in force, and once more after its admission. When a table takes effect, idle connections of withdrawn keys are closed, their transactions rolled back, and busy ones ended after their statement. With revoke_fail_closed a node refuses callers once the store has been silent for revoke_limit; an answer that was read after a suspension of the VM counts from its call.

--- a/packages/cowslipfork-direct/src/cowslipfork_direct/metrics.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/metrics.py
@@ -78,6 +78,12 @@
             'Times that the store was seen to return from an older copy.',
             registry=self._registry,
         )
+        self._refused_keys = Counter(
+            'cowslipfork_refused_keys',
+            'Callers and statements that were refused for their key.',
+            ('reason',),
+            registry=self._registry,
+        )
         self._gaps = Histogram(
             'cowslipfork_leaderless_seconds',
             'Times without a known primary, by group.',
@@ -104,6 +110,10 @@
         """Counts a step of a takeover that this node carried out."""
         self._takeovers.labels(step).inc()
 
+    def count_refused_key(self, reason: str) -> None:
+        """Counts a caller or statement that was refused for its key."""
+        self._refused_keys.labels(reason).inc()
+
     def count_store_restore(self) -> None:
         """Counts a return of the store from an older copy."""
         self._store_restores.inc()
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/node.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/node.py
@@ -13,6 +13,7 @@
 from cowslipfork.limits import RetryBudget
 from cowslipfork.outcomes import NotRun, Reason
 from cowslipfork.store import Event, LeasingStore, StoreEra
+from cowslipfork_direct.connected_callers import ConnectedCallers
 from cowslipfork_direct.endpoint import Endpoint
 from cowslipfork_direct.endpoint_monitor import EndpointMonitor
 from cowslipfork_direct.era_settlement import EraSettlement
@@ -25,7 +26,12 @@
 from cowslipfork_direct.registration import Registration, RegistrationHooks
 from cowslipfork_direct.relay import Address
 from cowslipfork_direct.rerouting import ReroutedStore
-from cowslipfork_direct.routes import DatabaseName, Route
+from cowslipfork_direct.routes import (
+    DatabaseName,
+    KeyDigest,
+    Route,
+    RoutingTable,
+)
 from cowslipfork_direct.session import Session, SessionContext
 from cowslipfork_direct.store_era import EraTracker
 from cowslipfork_direct.store_watcher import StoreWatcher
@@ -46,6 +52,12 @@
 )
 from cowslipfork_direct.view import View
 from cowslipfork_direct.work import Service
+from cowslipfork_direct.workspaces import (
+    Revocation,
+    Workspaces,
+    digest_of,
+    digest_prefix,
+)
 
 log = logging.getLogger(__name__)
 
@@ -98,13 +110,17 @@
     """Everything that serves callers, except for their protocol."""
 
     def __init__(
-        self, adapters: PlatformAdapters, identity: NodeIdentity
+        self,
+        adapters: PlatformAdapters,
+        identity: NodeIdentity,
+        revocation: Revocation | None = None,
     ) -> None:
         """Creates and connects the parts; ``run`` starts them.
 
         Args:
             adapters: adapters of the platform.
             identity: name, failure domain and relay address of this node.
+            revocation: how keys are withdrawn; None for the defaults.
         """
         self._adapters = adapters
         self._name = identity.name
@@ -162,6 +178,12 @@
                 self._settlement.subscription(),
             ),
         )
+        self._workspaces = Workspaces(
+            lambda: self._store_watcher.last_answer_at,
+            revocation or Revocation(),
+        )
+        self._callers = ConnectedCallers()
+        self._view.listen(self._on_table)
         self._eras.listen(self._on_new_era)
         self._executors: dict[GroupName, StatementExecutor] = {}
         self._suspicion_reporters: list[SuspicionReporter] = []
@@ -170,7 +192,7 @@
         self._session_context = SessionContext(
             self._resolve,
             lambda: self._view.table.transaction_idle,
-            lambda _: None,
+            self._workspaces.identify,
             _admit_always,
             self._metrics,
         )
@@ -201,12 +223,19 @@
         """Metrics of this node."""
         return self._metrics
 
+    @property
+    def callers(self) -> ConnectedCallers:
+        """Callers that are connected to this node."""
+        return self._callers
+
     @property
     def _records_known(self) -> bool:
         """Whether this node knows all that was written before this era."""
         return self._settlement.settled or self._eras.restored
 
-    async def open_session(self, database: DatabaseName) -> Session | NotRun:
+    async def open_session(
+        self, database: DatabaseName, key: str = ''
+    ) -> Session | NotRun:
         """Opens a session.
 
         A caller that connects before the first configuration is loaded waits
@@ -214,6 +243,7 @@
 
         Args:
             database: database that the caller connects to.
+            key: the caller's key; empty if it sent none.
 
         Returns:
             The session, or the refusal with its reason.
@@ -223,10 +253,33 @@
                 await self._wait_until_configured()
         except TimeoutError:
             return NotRun(Reason.NOT_CURRENT, START_RETRY_MS)
-        if self._view.route(database) is None:
+        route = self._view.route(database)
+        if route is None:
             detail = f'no route for database "{database}"'
             return NotRun(Reason.UNKNOWN_GROUP, detail=detail)
-        return Session(self._session_context, database)
+        digest = digest_of(key)
+        workspace = self._workspaces.identify(route, digest)
+        if isinstance(workspace, NotRun):
+            return self._refuse_caller(route, digest, workspace)
+        return Session(self._session_context, database, digest)
+
+    def _refuse_caller(
+        self, route: Route, digest: KeyDigest | None, refusal: NotRun
+    ) -> NotRun:
+        """Logs and counts a caller whose key is refused."""
+        reason = refusal.reason.name.lower()
+        self._metrics.count_refused_key(reason)
+        log.info(
+            'caller_refused',
+            extra={
+                'database': route.database,
+                'revision': route.revision,
+                'key': digest_prefix(digest),
+                'reason': reason,
+                'detail': refusal.detail,
+            },
+        )
+        return refusal
 
     async def _wait_until_configured(self) -> None:
         await self._view.configured.wait()
@@ -240,6 +293,7 @@
                 tasks.create_task(self._store_watcher.run())
                 tasks.create_task(self._registration.run())
                 tasks.create_task(self._settlement.run())
+                tasks.create_task(self._callers.run())
         finally:
             for task in self._tasks:
                 task.cancel()
@@ -328,6 +382,10 @@
         ):
             self._start(part.run())
 
+    def _on_table(self, table: RoutingTable) -> None:
+        self._workspaces.adopt(table)
+        self._callers.check_keys()
+
     def _on_takeover(self, takeover: Takeover) -> None:
         takeover_handler = self._takeover_handlers.get(takeover.group)
         if takeover_handler is not None:
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/session.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/session.py
@@ -24,16 +24,17 @@
     StatementExecutor,
 )
 from cowslipfork_direct.metrics import Metrics
-from cowslipfork_direct.routes import DatabaseName, Route
+from cowslipfork_direct.routes import DatabaseName, KeyDigest, Route
 from cowslipfork_direct.statements import Prepared, Statement, Verb
 from cowslipfork_direct.work import StatementRequest
+from cowslipfork_direct.workspaces import digest_prefix
 
 #: Returns the current route of a database and the executor of its group.
 RouteResolver = Callable[[DatabaseName], tuple[Route, StatementExecutor] | None]
 
-#: Returns the workspace of the session's caller for a route, None if the route
-#: needs none, or why the caller may not use the route.
-Identify = Callable[[Route], WorkspaceName | NotRun | None]
+#: Returns the workspace of the caller with this key for a route, None if the
+#: route needs none, or why the caller may not use the route.
+Identify = Callable[[Route, KeyDigest | None], WorkspaceName | NotRun | None]
 
 #: Waits until a workspace may start another operation; returns the refusal if
 #: its rate limit does not allow that now.
@@ -41,6 +42,12 @@
 
 log = logging.getLogger(__name__)
 
+#: Detail of the refusal after a transaction whose key was withdrawn.
+KEY_WITHDRAWN: Final = 'the key of the transaction was withdrawn'
+
+#: Why the key of a caller is refused, as opposed to a statement of it.
+_KEY_REFUSALS: Final = frozenset((Reason.UNKNOWN_KEY, Reason.NOT_CURRENT))
+
 _DATA_VERBS: Final = frozenset(
     (Verb.READ, Verb.WRITE, Verb.EXECUTE, Verb.COMMIT)
 )
@@ -71,15 +78,22 @@
 class Session:
     """Runs a caller's statements and keeps its state between them."""
 
-    def __init__(self, context: SessionContext, database: DatabaseName) -> None:
+    def __init__(
+        self,
+        context: SessionContext,
+        database: DatabaseName,
+        digest: KeyDigest | None = None,
+    ) -> None:
         """Starts outside of a transaction, without values or statements.
 
         Args:
             context: what it uses of its node.
             database: database that the caller connected to.
+            digest: digest of the caller's key; None if it sent none.
         """
         self._context = context
         self._database = database
+        self._digest = digest
         self._values: dict[str, str] = {}
         self._prepared: dict[str, Prepared] = {}
         self._mark: Mark | None = None
@@ -99,6 +113,15 @@
         """Seconds after which an idle transaction must be aborted."""
         return self._context.idle_limit()
 
+    @property
+    def withdrawn(self) -> bool:
+        """Whether the caller's key is not known any more."""
+        workspace = self._identify()
+        return (
+            isinstance(workspace, NotRun)
+            and workspace.reason is Reason.UNKNOWN_KEY
+        )
+
     @property
     def state(self) -> SessionState:
         """Transaction state of the session."""
@@ -117,7 +140,10 @@
         Returns:
             Its outcome.
         """
-        if self.state is SessionState.FAILED_TRANSACTION:
+        workspace = self._identify()
+        if isinstance(workspace, NotRun):
+            outcome = await self._refuse_key(workspace)
+        elif self.state is SessionState.FAILED_TRANSACTION:
             outcome = self._run_in_failed_transaction(statement)
         elif statement.verb in _DATA_VERBS:
             return await self._run_data(statement)
@@ -141,6 +167,28 @@
         """Ends the session; an open transaction is rolled back."""
         await self._end_transaction()
 
+    def _identify(self) -> WorkspaceName | NotRun | None:
+        """Asks who the caller is, by the database's current route."""
+        resolved = self._context.resolve(self._database) or self._resolved
+        if resolved is None:
+            return None
+        return self._context.identify(resolved[0], self._digest)
+
+    async def _refuse_key(self, refusal: NotRun) -> DirectOutcome:
+        """Refuses a statement, the first one after a rollback as aborted.
+
+        Args:
+            refusal: why the caller's key is refused.
+        """
+        await self.abort(refusal.detail)
+        cause = self._abort_cause
+        self._abort_cause = None
+        if cause is None:
+            return refusal
+        return NotRun(
+            Reason.TRANSACTION_LOST, refusal.retry_after_ms, detail=cause
+        )
+
     def _run_in_failed_transaction(self, statement: Statement) -> DirectOutcome:
         cause = self._abort_cause
         self._abort_cause = None
@@ -177,10 +225,7 @@
         resolved = self._context.resolve(self._database)
         if resolved is None:
             return self._no_route()
-        route, executor = resolved
-        workspace = self._context.identify(route)
-        if isinstance(workspace, NotRun):
-            return workspace
+        _, executor = resolved
         read_only = statement.verb is Verb.BEGIN_READ_ONLY
         self._resolved = resolved
         self._transaction = executor.begin(read_only=read_only)
@@ -231,16 +276,11 @@
         if statement.verb is Verb.EXECUTE and prepared is None:
             detail = f'prepared statement "{statement.name}" does not exist'
             return _bad_request(detail)
-        workspace = self._context.identify(route)
-        if isinstance(workspace, NotRun):
-            return workspace
         arrived = boot_time()
         deadline = asyncio.get_running_loop().time() + route.timeout
-        if workspace is not None and not self._admitted:
-            refusal = await self._context.admit(workspace)
-            if refusal is not None:
-                return refusal
-        self._admitted = True
+        workspace = await self._admit_workspace()
+        if isinstance(workspace, NotRun):
+            return workspace
         return StatementRequest(
             statement,
             route,
@@ -252,6 +292,23 @@
             workspace,
         )
 
+    async def _admit_workspace(self) -> WorkspaceName | NotRun | None:
+        """Applies the rate limit, once for each operation.
+
+        Returns:
+            The caller's workspace, or why the statement may not run.
+        """
+        workspace = self._identify()
+        if self._admitted or isinstance(workspace, NotRun):
+            return workspace
+        if workspace is not None:
+            refusal = await self._context.admit(workspace)
+            if refusal is not None:
+                return refusal
+        self._admitted = True
+        # The key may have been withdrawn during the wait.
+        return self._identify()
+
     async def _record_executed(
         self, statement: Statement, executed: Executed
     ) -> None:
@@ -272,12 +329,15 @@
         refusal: NotRun,
     ) -> NotRun:
         """Logs a statement that was refused without reaching a group."""
+        if refusal.reason in _KEY_REFUSALS:
+            self._context.metrics.count_refused_key(refusal.reason.name.lower())
         log.info(
             'request',
             extra={
                 'id': statement.id,
                 'database': self._database,
                 'verb': statement.verb.value,
+                **self._caller_fields(),
                 'outcome': outcome_name(refusal),
                 'detail': refusal.detail,
             },
@@ -307,12 +367,18 @@
                 'writes': request.writes,
                 'max_age': request.max_age,
                 'in_transaction': in_transaction,
+                **self._caller_fields(),
                 **executed.log_fields,
                 'outcome': ended,
                 'detail': outcome_detail(executed.outcome),
             },
         )
 
+    def _caller_fields(self) -> dict[str, str]:
+        """Returns the start of the key's digest, if there is a key."""
+        prefix = digest_prefix(self._digest)
+        return {'key': prefix} if prefix else {}
+
     def _advance_mark(self, mark: Mark | None) -> None:
         if mark is not None and (self._mark is None or mark > self._mark):
             self._mark = mark
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/store_watcher.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/store_watcher.py
@@ -34,6 +34,11 @@
 #: Seconds to wait after an answer so that the next one holds more changes.
 BATCH_DELAY: Final = 0.04
 
+#: Longest regular time in seconds from the call of a watch to its answer. An
+#: answer that took longer may have waited while this VM was suspended, and
+#: shows the store as it was when the call began.
+MAX_ANSWER_TIME: Final = 3.5
+
 
 @dataclass(frozen=True, slots=True)
 class Subscription:
@@ -77,6 +82,15 @@
         self._restored = False
         self._absent_until: float | None = None
         self._watch_task: asyncio.Task[None] | None = None
+        self._last_answer_at = float('-inf')
+
+    @property
+    def last_answer_at(self) -> float:
+        """Boot time up to which the store's changes are likely to be known.
+
+        Minus infinity before the first answer.
+        """
+        return self._last_answer_at
 
     @property
     def revision(self) -> int:
@@ -135,18 +149,21 @@
         return max(0, self._absent_until - boot_time())
 
     async def _watch(self) -> None:
+        begun_at = boot_time()
         async for events in self._store.watch('', self._revision):
-            self._record_back()
+            self._record_answer(begun_at)
             self._apply_events(events)
             # Changes in quick succession then arrive in one answer.
             await asyncio.sleep(BATCH_DELAY)
+            begun_at = boot_time()
 
     async def _list(self) -> None:
         eras_begun = self._eras_begun
+        begun_at = boot_time()
         entries, revision = await self._store.list_prefix('')
         if eras_begun != self._eras_begun:
             raise EraEnded('list', 'read before the store was restored')
-        self._record_back()
+        self._record_answer(begun_at)
         absent = self._revisions.keys() - {entry.key for entry in entries}
         if self._restored:
             self._restored = False
@@ -212,7 +229,16 @@
             )
         self._store_lost = True
 
-    def _record_back(self) -> None:
+    def _record_answer(self, begun_at: float) -> None:
+        """Notes an answer of the store.
+
+        Args:
+            begun_at: boot time at which the call began.
+        """
+        now = boot_time()
+        in_time = now <= begun_at + MAX_ANSWER_TIME
+        known_until = now if in_time else begun_at
+        self._last_answer_at = max(self._last_answer_at, known_until)
         if self._store_lost:
             log.warning('store_back', extra={'revision': self._revision})
         self._store_lost = False
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/view.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/view.py
@@ -45,6 +45,7 @@
         self._metrics = metrics
         self._on_added = on_added
         self._configured = asyncio.Event()
+        self._listeners: list[Callable[[RoutingTable], None]] = []
 
     @property
     def configured(self) -> asyncio.Event:
@@ -65,6 +66,14 @@
         """Returns the route of a database; None if it has none."""
         return self._table.routes.get(database)
 
+    def listen(self, listener: Callable[[RoutingTable], None]) -> None:
+        """Adds a listener.
+
+        Args:
+            listener: called with each routing table as soon as it is in force.
+        """
+        self._listeners.append(listener)
+
     def adopt(self, table: RoutingTable) -> bool:
         """Replaces the routing table if the given one is newer.
 
@@ -78,6 +87,8 @@
         self._metrics.set_configuration_revision(table.revision)
         for name in table.groups:
             self.get_or_create_group(name)
+        for listener in self._listeners:
+            listener(table)
         return True
 
     def get_or_create_group(self, name: GroupName) -> Group:
--- a/packages/cowslipfork-direct/tests/fakes/direct_fakes/world.py
+++ b/packages/cowslipfork-direct/tests/fakes/direct_fakes/world.py
@@ -26,10 +26,12 @@
     GroupRules,
     Route,
     RoutingTable,
+    Workspace,
 )
 from cowslipfork_direct.statements import Prepared, Statement, Verb
 from cowslipfork_direct.store_era import EraTracker
 from cowslipfork_direct.subscriptions import StoreSchema
+from cowslipfork_direct.workspaces import Revocation, digest_of
 from direct_fakes.servers import ONE_WAY, Database, FakeLink
 
 FRESH = DatabaseName('fresh')
@@ -172,6 +174,8 @@
         #: Results of the next orders; once used up, orders are carried out.
         self.order_results = []
         self.connections = connections
+        #: How nodes that start from now on withdraw keys.
+        self.revocation = Revocation()
         self.revision = 0
         self.leases = {}
         self._tasks = {}
@@ -200,6 +204,9 @@
             'max_age': 1.5,
             'databases': [FRESH, AGED],
             'transaction_idle': 3,
+            # Keys by workspace; None if callers need none.
+            'workspaces': None,
+            'auth_exempt': [],
             **changes,
         }
         self.store.put('op/config', json.dumps(settings).encode())
@@ -233,11 +240,13 @@
                     0.2,
                     1,
                     Revision(settings['revision']),
+                    auth_exempt=name in settings['auth_exempt'],
                 )
                 for name in settings['databases']
             },
             {self.database.name: GroupRules(self.connections, 0)},
             settings['transaction_idle'],
+            _workspaces(settings['workspaces']),
         )
 
     def start_node(self, name='n1', domain='a'):
@@ -258,6 +267,7 @@
                 eras,
             ),
             NodeIdentity(VmId(name), FailureDomain(domain), Address(name, 1)),
+            self.revocation,
         )
         self.nodes[name] = node
         self._tasks[name] = asyncio.create_task(node.run())
@@ -281,8 +291,8 @@
             return OrderResult.ACCEPTED
         return OrderResult.NOT_RUNNING
 
-    async def session(self, database=FRESH, node='n1'):
-        return await self.nodes[node].open_session(database)
+    async def session(self, database=FRESH, node='n1', key=''):
+        return await self.nodes[node].open_session(database, key)
 
     def reachable(self, node, name, via=None):
         server = self.servers[name]
@@ -334,6 +344,15 @@
             await self.kill_node(name)
 
 
+def _workspaces(keys):
+    if keys is None:
+        return None
+    return {
+        name: Workspace(name, frozenset(map(digest_of, own)))
+        for name, own in keys.items()
+    }
+
+
 @asynccontextmanager
 async def world(nodes=1, **settings):
     """Yields a world 1 s after its nodes started: they know the primary."""
--- a/packages/cowslipfork-direct/tests/test_store_watcher.py
+++ b/packages/cowslipfork-direct/tests/test_store_watcher.py
@@ -1,10 +1,16 @@
 import asyncio
 
+import pytest
+from direct_fakes.world import run
 from virtual_time import run_virtual
 
 from cowslipfork.store import HistoryLost, Put
 from cowslipfork.store.memory import Fault, MemoryStore
-from cowslipfork_direct.store_watcher import StoreWatcher, Subscription
+from cowslipfork_direct.store_watcher import (
+    MAX_ANSWER_TIME,
+    StoreWatcher,
+    Subscription,
+)
 
 
 class Recorder:
@@ -103,3 +109,54 @@
 
     recorder = watch_during(store, steps, 'a/')
     assert recorder.contents == [('a/1', b'x'), ('a/2', b'y')]
+
+
+def test_the_time_of_the_last_answer_stands_still_in_an_outage():
+    """Guards against a node that takes a silent store for a current one."""
+
+    async def main():
+        store = MemoryStore()
+        watcher = StoreWatcher(store, ())
+        before = watcher.last_answer_at
+        task = asyncio.create_task(watcher.run())
+        await asyncio.sleep(1)
+        store.put('a/1', b'x')
+        await asyncio.sleep(0.1)
+        answered = watcher.last_answer_at
+        store.fail(Fault.DOWN)
+        await asyncio.sleep(5)
+        silent = watcher.last_answer_at
+        store.heal()
+        await asyncio.sleep(2)
+        store.put('a/1', b'y')
+        await asyncio.sleep(0.1)
+        task.cancel()
+        return before, answered, silent, watcher.last_answer_at
+
+    before, answered, silent, back = run(main())
+    assert before == float('-inf')
+    assert answered == silent == pytest.approx(1, abs=0.1)
+    assert back == pytest.approx(8.1, abs=0.1)
+
+
+@pytest.mark.parametrize(
+    ('duration', 'counts_from'),
+    [(MAX_ANSWER_TIME - 0.1, 'arrival'), (60, 'call')],
+)
+def test_an_answer_that_arrived_late_counts_from_its_call(
+    duration, counts_from
+):
+    """Guards against an old answer that is read after a suspension."""
+
+    async def main():
+        store = MemoryStore()
+        watcher = StoreWatcher(store, ())
+        task = asyncio.create_task(watcher.run())
+        await asyncio.sleep(duration)
+        store.put('a/1', b'x')
+        await asyncio.sleep(0.01)
+        task.cancel()
+        return watcher.last_answer_at
+
+    expected = {'arrival': duration, 'call': 0}[counts_from]
+    assert run(main()) == pytest.approx(expected, abs=0.05)
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/direct_table.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/direct_table.py
@@ -14,6 +14,7 @@
 _MECHANISMS: Final = f'{_TESTS}/test_mechanisms.py'
 _TAKEOVER: Final = f'{_TESTS}/takeover'
 _SESSION: Final = f'{_TESTS}/test_session.py'
+_WORKSPACES: Final = f'{_TESTS}/test_workspaces.py'
 _RESTORE: Final = f'{_TESTS}/test_store_restore.py'
 
 DIRECT_MUTANTS: Final = (
@@ -213,4 +214,76 @@
         '        doubled = seconds',
         f'{_TESTS}/test_slow_servers.py',
     ),
+    Mutant(
+        'direct: an unknown key is refused',
+        _DIRECT / 'workspaces.py',
+        '        if route.auth_exempt:\n',
+        '        if route:\n',
+        _WORKSPACES,
+    ),
+    Mutant(
+        'direct: a key belongs to one workspace',
+        _DIRECT / 'workspaces.py',
+        '            if owner != name:',
+        '            if not owner:',
+        _WORKSPACES,
+    ),
+    Mutant(
+        'direct: a node that fails closed refuses after the limit',
+        _DIRECT / 'workspaces.py',
+        '        if self._outdated:',
+        '        if self._outdated is None:',
+        _WORKSPACES,
+    ),
+    Mutant(
+        'direct: the key of each statement is checked',
+        _DIRECT / 'session.py',
+        '        workspace = self._identify()\n'
+        '        if isinstance(workspace, NotRun):\n',
+        '        workspace = None\n        if isinstance(workspace, NotRun):\n',
+        _WORKSPACES,
+    ),
+    Mutant(
+        'direct: a key is checked again after admission',
+        _DIRECT / 'session.py',
+        '        # The key may have been withdrawn during the wait.\n'
+        '        return self._identify()',
+        '        return workspace',
+        _WORKSPACES,
+    ),
+    Mutant(
+        'direct: a transaction of a withdrawn key is rolled back',
+        _DIRECT / 'connected_callers.py',
+        '            await self.abort_transaction(KEY_WITHDRAWN)\n',
+        '',
+        _WORKSPACES,
+    ),
+    Mutant(
+        'direct: an idle connection of a withdrawn key is closed',
+        _DIRECT / 'connected_callers.py',
+        '        self._close()\n        return Withdrawal.CLOSED',
+        '        return Withdrawal.CLOSED',
+        _WORKSPACES,
+    ),
+    Mutant(
+        'direct: a busy connection of a withdrawn key is ended later',
+        _DIRECT / 'connected_callers.py',
+        'tuple(self._connected.intersection(busy))',
+        '()',
+        _WORKSPACES,
+    ),
+    Mutant(
+        'direct: an older configuration is ignored',
+        _DIRECT / 'view.py',
+        '        if table.revision <= self._table.revision:',
+        '        if table.revision == self._table.revision:',
+        _WORKSPACES,
+    ),
+    Mutant(
+        'direct: an answer read after a suspension counts from its call',
+        _DIRECT / 'store_watcher.py',
+        'known_until = now if in_time else begun_at',
+        'known_until = now',
+        f'{_TESTS}/test_store_watcher.py',
+    ),
 )
