--- a/packages/cowslipfork-direct/tests/fakes/direct_fakes/world.py
+++ b/packages/cowslipfork-direct/tests/fakes/direct_fakes/world.py
@@ -26,10 +26,12 @@
     GroupRules,
     Route,
     RoutingTable,
+    Workspace,
 )
 from cowslipfork_direct.statements import Prepared, Statement, Verb
 from cowslipfork_direct.store_era import EraTracker
 from cowslipfork_direct.subscriptions import StoreSchema
+from cowslipfork_direct.workspaces import Revocation, digest_of
 from direct_fakes.peer_streams import StreamNetwork
 from direct_fakes.servers import ONE_WAY, Database, FakeLink
 
@@ -176,6 +178,8 @@
         #: Results of the next orders; once used up, orders are carried out.
         self.order_results = []
         self.connections = connections
+        #: How nodes that start from now on withdraw keys.
+        self.revocation = Revocation()
         self.revision = 0
         self.leases = {}
         self._tasks = {}
@@ -204,6 +208,9 @@
             'max_age': 1.5,
             'databases': [FRESH, AGED],
             'transaction_idle': 3,
+            # Keys by workspace; None if callers need none.
+            'workspaces': None,
+            'auth_exempt': [],
             **changes,
         }
         self.store.put('op/config', json.dumps(settings).encode())
@@ -237,11 +244,13 @@
                     0.2,
                     1,
                     Revision(settings['revision']),
+                    auth_exempt=name in settings['auth_exempt'],
                 )
                 for name in settings['databases']
             },
             {self.database.name: GroupRules(self.connections, 0)},
             settings['transaction_idle'],
+            _workspaces(settings['workspaces']),
         )
 
     def start_node(self, name='n1', domain='a'):
@@ -263,6 +272,7 @@
                 self.peer_network.dialer(name),
             ),
             NodeIdentity(VmId(name), FailureDomain(domain), Address(name, 1)),
+            revocation=self.revocation,
         )
         relay = Relay(tuple, node.serve_peer)
         self.peer_network.listen(name, relay.serve)
@@ -289,8 +299,8 @@
             return OrderResult.ACCEPTED
         return OrderResult.NOT_RUNNING
 
-    async def session(self, database=FRESH, node='n1'):
-        return await self.nodes[node].open_session(database)
+    async def session(self, database=FRESH, node='n1', key=''):
+        return await self.nodes[node].open_session(database, key)
 
     def reachable(self, node, name, via=None):
         server = self.servers[name]
@@ -344,6 +354,15 @@
             await self.kill_node(name)
 
 
+def _workspaces(keys):
+    if keys is None:
+        return None
+    return {
+        name: Workspace(name, frozenset(map(digest_of, own)))
+        for name, own in keys.items()
+    }
+
+
 @asynccontextmanager
 async def world(nodes=1, **settings):
     """Yields a world 1 s after its nodes started: they know the primary."""
--- a/packages/cowslipfork/src/cowslipfork/configuration/direct.py
+++ b/packages/cowslipfork/src/cowslipfork/configuration/direct.py
@@ -42,6 +42,10 @@
         carriers: nodes that hold the connections to a group.
         direct_connections: least connections to an endpoint for each node
             with which all nodes use the endpoints themselves.
+        revoke_limit: seconds after which a withdrawn key must not be
+            accepted.
+        revoke_fail_closed: whether all callers are refused once the store has
+            not answered for longer than ``revoke_limit``.
     """
 
     vm: VmId
@@ -60,6 +64,8 @@
     link_mbps: float = 0
     carriers: int = 3
     direct_connections: float = 1
+    revoke_limit: float = 5
+    revoke_fail_closed: bool = False
 
     @property
     def capacity(self) -> float:
@@ -137,6 +143,18 @@
             'number, 0 to 100',
             'Connections to an endpoint for each node that need no carriers.',
         ),
+        Key(
+            'revoke_limit',
+            readers.duration('100ms', '10m'),
+            'duration, 100ms to 10m',
+            'After this a withdrawn key must not be accepted any more.',
+        ),
+        Key(
+            'revoke_fail_closed',
+            readers.switch,
+            'yes | no',
+            'Whether callers are refused when the store is silent for longer.',
+        ),
     ),
 )
 
