--- a/packages/cowslipfork-direct/tests/peers/test_round_trips.py
+++ b/packages/cowslipfork-direct/tests/peers/test_round_trips.py
@@ -1,18 +1,32 @@
 """Requests and their replies over a network in memory."""
 
 import asyncio
+from typing import cast
 
 import pytest
 from direct_fakes.peer_fixture import DELAY, ask, outcome, run_peers
 from virtual_time import now
 
-from cowslipfork_direct.peers import Acknowledged, PeerRequest, PeerTimedOut
+from cowslipfork_direct.peers import (
+    Acknowledged,
+    PeerReply,
+    PeerRequest,
+    PeerTimedOut,
+)
 
 
 class Note(PeerRequest, frozen=True):
     text: str
 
 
+class Granted(PeerReply, frozen=True, tag=True):
+    number: int
+
+
+class Denied(PeerReply, frozen=True, tag=True):
+    pass
+
+
 def test_replies_reach_their_requests_in_any_order():
     """Guards against a reply given to another request."""
 
@@ -175,3 +189,20 @@
         return client.open_links, link.lost
 
     assert run_peers(main) == (0, True)
+
+
+def test_a_reply_may_have_one_of_several_types():
+    """Guards against a refusal of a part that is decoded as its grant."""
+
+    async def main(_network, client, server):
+        async def decide(message, _session):
+            return Granted(3) if message.text == 'grant' else Denied()
+
+        server.handle(Note, decide)
+        decided = cast('type[Granted | Denied]', Granted | Denied)
+        return [
+            await client.request('n2', Note(text), decided, 1)
+            for text in ('grant', 'deny')
+        ]
+
+    assert run_peers(main) == [Granted(3), Denied()]
