Forwarding uses the peer links

A reserved link sends the rollback of a transaction without waiting for it, and the carrier watches a link only while a transaction of it is open. A node that knows no forwarded messages counts as one that declines.

--- a/packages/cowslipfork-direct/src/cowslipfork_direct/forwarding/carrier_service.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/forwarding/carrier_service.py
@@ -14,7 +14,6 @@
 from cowslipfork_direct.execution import Executed, StatementExecutor
 from cowslipfork_direct.forwarding.encoding import received, reply_of
 from cowslipfork_direct.forwarding.messages import (
-    Ended,
     EndTransaction,
     Ran,
     RunInTransaction,
@@ -24,10 +23,7 @@
     OpenTransaction,
     transaction_lost,
 )
-from cowslipfork_direct.forwarding.peer_port import (
-    PeerHandlers,
-    PeerSession,
-)
+from cowslipfork_direct.peers import Acknowledged, PeerServer, PeerSession
 
 log = logging.getLogger(__name__)
 
@@ -62,6 +58,8 @@
         self._transactions: dict[
             PeerSession, dict[TransactionId, OpenTransaction]
         ] = {}
+        #: Functions that end the watch for the end of a link.
+        self._unwatch: dict[PeerSession, Callable[[], None]] = {}
         self._running = 0
         self._leaving = False
         #: Set whenever some work has ended.
@@ -78,7 +76,7 @@
         """Whether no statement runs and no transaction is open."""
         return not (self._running or self.open_transactions)
 
-    def register(self, server: PeerHandlers) -> None:
+    def register(self, server: PeerServer) -> None:
         """Registers what answers the requests of other nodes.
 
         Args:
@@ -88,7 +86,7 @@
         server.handle(RunInTransaction, self._run_in_transaction)
         server.handle(EndTransaction, self._end_transaction)
 
-    def leave(self, server: PeerHandlers) -> None:
+    def leave(self, server: PeerServer) -> None:
         """Takes no new work; open transactions may go on.
 
         Args:
@@ -142,12 +140,12 @@
 
     async def _end_transaction(
         self, message: EndTransaction, session: PeerSession
-    ) -> Ended:
+    ) -> Acknowledged:
         transaction = self._find(message.transaction, session)
         if isinstance(transaction, OpenTransaction):
             self._forget(message.transaction, session)
             await transaction.end()
-        return Ended()
+        return Acknowledged()
 
     def _executor_of(self, group: GroupName) -> StatementExecutor | NotRun:
         if self._leaving:
@@ -171,7 +169,9 @@
         opened = OpenTransaction(executor.begin(read_only=message.read_only))
         if session not in self._transactions:
             self._transactions[session] = {}
-            session.on_close(lambda: self._on_close(session))
+            self._unwatch[session] = session.on_close(
+                lambda: self._start(self._close(session))
+            )
         self._transactions[session][message.transaction] = opened
         return opened
 
@@ -182,15 +182,22 @@
         return known or transaction_lost('transaction is not open here')
 
     def _forget(self, transaction: TransactionId, session: PeerSession) -> None:
-        self._transactions.get(session, {}).pop(transaction, None)
+        known = self._transactions.get(session, {})
+        known.pop(transaction, None)
+        if not known:
+            self._stop_watching(session)
         self._work_ended.set()
 
-    def _on_close(self, session: PeerSession) -> None:
-        self._start(self._close(session))
+    def _stop_watching(self, session: PeerSession) -> None:
+        self._transactions.pop(session, None)
+        unwatch = self._unwatch.pop(session, None)
+        if unwatch is not None:
+            unwatch()
 
     async def _close(self, session: PeerSession) -> None:
         """Rolls back the open transactions of a link."""
-        transactions = self._transactions.pop(session, {})
+        transactions = self._transactions.get(session, {})
+        self._stop_watching(session)
         self._work_ended.set()
         if transactions:
             log.info(
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/forwarding/messages.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/forwarding/messages.py
@@ -18,6 +18,7 @@
     WorkspaceName,
 )
 from cowslipfork.outcomes import Reason
+from cowslipfork_direct.peers import PeerReply, PeerRequest
 from cowslipfork_direct.routes import DatabaseName
 from cowslipfork_direct.statements import Prepared, Statement
 
@@ -78,7 +79,7 @@
     workspace: WorkspaceName | None = None
 
 
-class RunSingle(msgspec.Struct, frozen=True, tag='run_single'):
+class RunSingle(PeerRequest, frozen=True):
     """Asks to run a statement outside of a transaction.
 
     Attributes:
@@ -88,7 +89,7 @@
     request: ForwardedRequest
 
 
-class RunInTransaction(msgspec.Struct, frozen=True, tag='run_in_transaction'):
+class RunInTransaction(PeerRequest, frozen=True):
     """Asks to run a statement or COMMIT of a transaction.
 
     Attributes:
@@ -105,8 +106,8 @@
     request: ForwardedRequest
 
 
-class EndTransaction(msgspec.Struct, frozen=True, tag='end_transaction'):
-    """Asks to roll a transaction back.
+class EndTransaction(PeerRequest, frozen=True):
+    """Asks to roll a transaction back; nobody waits for the reply.
 
     Attributes:
         transaction: identifier on this link.
@@ -115,10 +116,6 @@
     transaction: TransactionId
 
 
-class Ended(msgspec.Struct, frozen=True, tag='ended'):
-    """Reply to ``EndTransaction``."""
-
-
 class DoneReply(msgspec.Struct, frozen=True, tag='done', omit_defaults=True):
     """The outcome ``Done``; see ``Answer``."""
 
@@ -152,7 +149,7 @@
 OutcomeReply = DoneReply | FailedReply | NotRunReply | UnknownReply
 
 
-class Ran(msgspec.Struct, frozen=True, tag='ran', omit_defaults=True):
+class Ran(PeerReply, frozen=True, omit_defaults=True):
     """Reply to ``RunSingle`` and ``RunInTransaction``; see ``Executed``.
 
     Attributes:
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/forwarding/remote_executor.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/forwarding/remote_executor.py
@@ -3,14 +3,13 @@
 from __future__ import annotations
 
 from functools import partial
-from typing import Any
 
 from cowslipfork.ids import VmId
 from cowslipfork_direct.execution import Executed, StatementExecutor
 from cowslipfork_direct.forwarding.context import Forwarding
 from cowslipfork_direct.forwarding.decisions import FailedTry, work_of_single
 from cowslipfork_direct.forwarding.encoding import forwarded
-from cowslipfork_direct.forwarding.messages import RunSingle
+from cowslipfork_direct.forwarding.messages import Ran, RunSingle
 from cowslipfork_direct.forwarding.remote_transaction import RemoteTransaction
 from cowslipfork_direct.forwarding.search import CarrierSearch
 from cowslipfork_direct.work import StatementRequest
@@ -53,8 +52,9 @@
         if node == self._forwarding.entry:
             return await self._local.run_single(request)
 
-        async def send(timeout: float) -> Any:
+        async def send(timeout: float) -> Ran:
             message = RunSingle(forwarded(request))
-            return await self._forwarding.peers.request(node, message, timeout)
+            peers = self._forwarding.peers
+            return await peers.request(node, message, Ran, timeout)
 
         return await search.ask(node, send)
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/forwarding/remote_transaction.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/forwarding/remote_transaction.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from functools import partial
-from typing import Any
 
 from cowslipfork.ids import VmId
 from cowslipfork.outcomes import Done, NotRun, Reason
@@ -20,8 +19,11 @@
     work_in_transaction,
 )
 from cowslipfork_direct.forwarding.encoding import forwarded
-from cowslipfork_direct.forwarding.messages import RunInTransaction
-from cowslipfork_direct.forwarding.peer_port import PeerLink
+from cowslipfork_direct.forwarding.messages import (
+    EndTransaction,
+    Ran,
+    RunInTransaction,
+)
 from cowslipfork_direct.forwarding.search import CarrierSearch
 from cowslipfork_direct.statements import Verb
 from cowslipfork_direct.work import StatementRequest
@@ -91,7 +93,10 @@
             if self._here is None:
                 self._here = self._local.begin(read_only=self._read_only)
             return await self._here.run(request)
-        if self._there is None or self._there.node != node:
+        if self._there is not None and self._there.node != node:
+            self._there.end()
+            self._there = None
+        if self._there is None:
             self._there = _CarrierTransaction(
                 self._forwarding, node, read_only=self._read_only
             )
@@ -104,11 +109,11 @@
     def __init__(
         self, forwarding: Forwarding, node: VmId, *, read_only: bool
     ) -> None:
-        self._forwarding = forwarding
         self._node = node
         self._read_only = read_only
         self._id = forwarding.new_transaction()
-        self._link: PeerLink | None = None
+        self._link = forwarding.peers.reserve(node)
+        self._begins = True
         #: Whether the carrier may hold an open transaction.
         self._open = False
 
@@ -130,16 +135,18 @@
         return result
 
     def end(self) -> None:
-        """Has the carrier roll back what it may hold."""
-        if self._open and self._link is not None:
-            self._forwarding.roll_back(self._link, self._id)
+        """Has the carrier roll back what it may hold.
+
+        If the link is lost, the carrier does so by itself.
+        """
+        if self._open:
+            self._link.notify(EndTransaction(self._id))
         self._open = False
+        self._link.release()
 
-    async def _send(self, request: StatementRequest, timeout: float) -> Any:
-        begins = self._link is None
-        if self._link is None:
-            self._link = self._forwarding.peers.reserve(self._node)
+    async def _send(self, request: StatementRequest, timeout: float) -> Ran:
         message = RunInTransaction(
-            self._id, begins, self._read_only, forwarded(request)
+            self._id, self._begins, self._read_only, forwarded(request)
         )
-        return await self._link.request(message, timeout)
+        self._begins = False
+        return await self._link.request(message, Ran, timeout)
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/forwarding/search.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/forwarding/search.py
@@ -5,7 +5,6 @@
 import asyncio
 import logging
 from collections.abc import Awaitable, Callable
-from typing import Any
 
 from cowslipfork.ids import VmId
 from cowslipfork_direct.answers import outcome_detail, outcome_name
@@ -23,7 +22,7 @@
 )
 from cowslipfork_direct.forwarding.encoding import executed_of
 from cowslipfork_direct.forwarding.messages import Ran
-from cowslipfork_direct.forwarding.peer_port import PeerLost, PeerNotReached
+from cowslipfork_direct.peers import PeerError, PeerNotReached
 from cowslipfork_direct.statements import Verb
 from cowslipfork_direct.work import StatementRequest
 
@@ -33,7 +32,7 @@
 Attempt = Callable[[VmId], Awaitable[Executed | FailedTry]]
 
 #: Sends a request with a time limit in seconds and returns the reply.
-Send = Callable[[float], Awaitable[Any]]
+Send = Callable[[float], Awaitable[Ran]]
 
 
 class CarrierSearch:
@@ -137,14 +136,12 @@
 
 async def _reply(send: Send, timeout: float) -> Executed | FailedTry:
     try:
-        reply = await send(timeout)
+        executed = executed_of(await send(timeout))
     except PeerNotReached as error:
         return FailedTry(Failure.NOT_REACHED, str(error))
-    except PeerLost as error:
-        return FailedTry(Failure.LOST, str(error))
-    if not isinstance(reply, Ran):
-        return FailedTry(Failure.LOST, 'unexpected reply')
-    executed = executed_of(reply)
+    except PeerError as error:
+        failure = Failure.LOST if error.may_have_run else Failure.DECLINED
+        return FailedTry(failure, str(error))
     if declined(executed.outcome):
         return FailedTry(Failure.DECLINED, outcome_detail(executed.outcome))
     return executed
--- a/packages/cowslipfork-direct/tests/fakes/direct_fakes/peers.py
+++ b/packages/cowslipfork-direct/tests/fakes/direct_fakes/peers.py
@@ -21,12 +21,8 @@
     Forwarding,
     RemoteExecutor,
 )
-from cowslipfork_direct.forwarding.messages import (
-    Ended,
-    Ran,
-)
-from cowslipfork_direct.forwarding.peer_port import PeerLost, PeerNotReached
 from cowslipfork_direct.metrics import Metrics
+from cowslipfork_direct.peers import PeerLost, PeerNotReached, PeerSession
 from cowslipfork_direct.routes import Route
 from cowslipfork_direct.statements import Verb
 from cowslipfork_direct.work import StatementRequest
@@ -151,15 +147,10 @@
         self._network = network
         self._entry = entry
         self._node = node
-        self._callbacks = []
+        #: The carrier's end.
+        self.session = PeerSession(entry, lambda: None)
         self._broken = asyncio.Event()
-        self._ended = False
-
-    def on_close(self, callback):
-        if self._ended:
-            callback()
-        else:
-            self._callbacks.append(callback)
+        self.released = False
 
     def break_now(self):
         """Ends the link at both ends."""
@@ -167,21 +158,29 @@
         self.end_at_carrier()
 
     def end_at_carrier(self):
-        self._ended = True
-        for callback in self._callbacks:
-            callback()
-        self._callbacks.clear()
+        self.session.close()
+
+    def notify(self, message):
+        host = self._network.hosts[self._node]
+        if not self._broken.is_set() and host.running:
+            self._network.tasks.add(
+                asyncio.create_task(self._deliver(host, message))
+            )
+
+    def release(self):
+        """Lets the link be closed while unused, which this one never is."""
+        self.released = True
 
-    async def request(self, message, timeout):
+    async def request(self, message, reply_type, timeout):
         host = self._network.hosts[self._node]
         if self._broken.is_set() or host.refuses or not host.running:
             self._broken.set()
             self.end_at_carrier()
             self._network.suspect(self._entry, self._node)
-            raise PeerNotReached(f'{self._node} is not reached')
+            raise PeerNotReached(self._node, 'refused')
         if host.unsent:
             host.unsent -= 1
-            raise PeerNotReached('not sent in time')
+            raise PeerNotReached(self._node, 'not sent in time')
         sent_at = now()
         replying = asyncio.create_task(self._deliver(host, message))
         broken = asyncio.create_task(self._broken.wait())
@@ -192,13 +191,14 @@
             return_when=asyncio.FIRST_COMPLETED,
         )
         if replying.done() and not self._broken.is_set():
-            return replying.result()
+            encoded = msgspec.json.encode(replying.result())
+            return msgspec.json.decode(encoded, type=reply_type)
         self._broken.set()
         if host.awake.is_set():
             self.end_at_carrier()
         if host.silent or not host.running:
             self._network.suspect(self._entry, self._node)
-        raise PeerLost(f'{self._node} lost after {now() - sent_at:.3f} s')
+        raise PeerLost(self._node, f'lost after {now() - sent_at:.3f} s')
 
     async def _deliver(self, host, message):
         await asyncio.sleep(ONE_WAY)
@@ -213,7 +213,7 @@
             msgspec.json.encode(message), type=type(message)
         )
         handler = host.server.handlers[type(message)]
-        reply = await handler(received, self)
+        reply = await handler(received, self.session)
         if self._broken.is_set():
             self.end_at_carrier()
         if host.silent_answers:
@@ -222,7 +222,7 @@
             host.loses_answers -= 1
             self.break_now()
         await asyncio.sleep(ONE_WAY)
-        return msgspec.json.decode(msgspec.json.encode(reply), type=Ran | Ended)
+        return reply
 
 
 class FakePeers:
@@ -232,8 +232,8 @@
         self._network = network
         self._entry = entry
 
-    async def request(self, node, message, timeout):
-        return await self.reserve(node).request(message, timeout)
+    async def request(self, node, message, reply_type, timeout):
+        return await self.reserve(node).request(message, reply_type, timeout)
 
     def available(self, node):
         server = self._network.hosts[node].server
--- a/packages/cowslipfork-direct/tests/forwarding/test_carrier_service.py
+++ b/packages/cowslipfork-direct/tests/forwarding/test_carrier_service.py
@@ -25,7 +25,7 @@
 
 
 async def outcome_of(host, link, message):
-    reply = await host.server.handlers[type(message)](message, link)
+    reply = await host.server.handlers[type(message)](message, link.session)
     return executed_of(reply).outcome
 
 
@@ -76,7 +76,9 @@
             )
             for n in range(4)
         ]
-        await host.server.handlers[EndTransaction](EndTransaction('t0'), link)
+        await host.server.handlers[EndTransaction](
+            EndTransaction('t0'), link.session
+        )
         again = in_transaction('WRITE a', begins=True, transaction='t9')
         return outcomes, await outcome_of(host, link, again)
 
--- a/packages/cowslipfork-direct/tests/forwarding/test_encoding.py
+++ b/packages/cowslipfork-direct/tests/forwarding/test_encoding.py
@@ -128,8 +128,8 @@
 
 def test_fields_of_newer_versions_are_ignored():
     """Guards against links that end while versions are mixed."""
-    line = b'{"type":"ran","outcome":{"type":"done","new":1},"newer":[2]}'
+    line = b'{"outcome":{"type":"done","new":1},"newer":[2]}'
     assert msgspec.json.decode(line, type=Ran) == Ran(DoneReply())
-    line = b'{"type":"end_transaction","transaction":"t1","newer":2}'
+    line = b'{"transaction":"t1","newer":2}'
     decoded = msgspec.json.decode(line, type=EndTransaction)
     assert decoded == EndTransaction('t1')
