explain: a refused key is shown with the change of workspaces before it

Cause: the line of a refused statement does not tell which configuration withdrew its key. Change: workspaces_changed and configuration_unreadable count as causes. Result: packages/cowslipfork-admin/tests/test_log_analysis.py passes.

--- a/packages/cowslipfork-admin/src/cowslipfork_admin/log_analysis.py
+++ b/packages/cowslipfork-admin/src/cowslipfork_admin/log_analysis.py
@@ -40,6 +40,8 @@
         'leader_not_proved',
         'lease_ended',
         'settings_reloaded',
+        'configuration_unreadable',
+        'workspaces_changed',
     ),
 )
 
--- a/packages/cowslipfork-admin/tests/test_log_analysis.py
+++ b/packages/cowslipfork-admin/tests/test_log_analysis.py
@@ -60,6 +60,22 @@
     assert found.lines[-1].fields['detail'] == 'no primary'
 
 
+def test_a_refused_key_is_followed_to_the_change_of_workspaces(tmp_path):
+    """Guards the way from a refused statement to what withdrew its key."""
+    file = tmp_path / 'n1.log'
+    file.write_text(
+        'time="2026-01-01 10:00:01,000" level=info vm=n1 '
+        'event=workspaces_changed revision=8 workspaces=2 keys=3 added=0 '
+        'removed=1\n'
+        'time="2026-01-01 10:00:02,400" level=info vm=n1 event=request id=7f '
+        'verb=write key=6cc18cc6 outcome=not_run_unknown_key\n'
+    )
+    found = explain('7f', read_logs([file]))
+    assert [line.event for line in found.before] == ['workspaces_changed']
+    assert found.before[0].fields['removed'] == '1'
+    assert found.lines[-1].fields['key'] == '6cc18cc6'
+
+
 def test_an_unknown_request_has_no_path(files):
     assert explain('other', read_logs(files)).lines == ()
 
