Waiting requests in a fair order over classes and workspaces

One module held ordering, admission and futures, and searched a class for each request that left it. Workspaces had no part in the order: one with ten times its usual load beside twenty others delayed all of them.

The order is now fair_order (no asyncio): start-time fair queueing over classes and, inside a class, over workspaces with equal weights; removal in constant time. slot_counts counts slots and connections, intervals the learnt service intervals of classes and workspaces. A request may wait if both estimates allow it: that of its class, in which other workspaces count with even shares, and that of its own workspace. Spare connections can be changed, and a limit on the connections of a workspace can be set.

--- a/packages/cowslipfork/src/cowslipfork/limits/admission.py
+++ b/packages/cowslipfork/src/cowslipfork/limits/admission.py
@@ -6,6 +6,10 @@
 a queue without admission control fills up until every request waits as long as
 it may: then most are rejected late, and the others are answered late. So a
 request is rejected at once if those before it can't be done in time.
+
+A fifth pattern is a workspace that sends many times its usual load beside
+others. What it sends is estimated from its own requests, so that it is rejected
+while the others, which get their even shares, are not.
 """
 
 from __future__ import annotations
@@ -36,12 +40,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Backlog:
-    """The requests of a class that wait before a new one.
+    """The requests of a class or of a workspace in it before a new one.
 
     Attributes:
         ahead: number of these requests.
         interval: seconds between two of them being served, which include the
-            requests of other classes that are served in between.
+            requests of others that are served in between.
     """
 
     ahead: int
--- a/packages/cowslipfork/src/cowslipfork/limits/queue.py
+++ b/packages/cowslipfork/src/cowslipfork/limits/queue.py
@@ -1,33 +1,33 @@
-"""The queue of one group: endpoint slots shared by weighted classes.
+"""The queue of one group: futures and timers of requests that wait for slots.
 
-Start-time fair queueing over classes: each class has a virtual time that
-grows by 1/weight with each slot it gets; a free slot goes to the waiting class
-with the lowest virtual time that can use it. Statements inside a transaction
-go first, since they hold locks that others wait for.
-
-A transaction that is idle between its statements holds a connection but no
-slot. A number of spare connections per endpoint makes up for those that are
-held in this way.
+The order of the requests is that of ``fair_order``; whether a request may wait
+is decided by ``admission``; slots and connections are counted in
+``slot_counts``.
 """
 
 from __future__ import annotations
 
 import asyncio
 import random
-from collections import Counter, deque
 from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Final
 
 from cowslipfork.configuration import RequestClass
-from cowslipfork.ids import ClassName, EndpointId
+from cowslipfork.ids import EndpointId, WorkspaceName
 from cowslipfork.limits.admission import (
     Backlog,
     has_room,
     milliseconds,
     retry_after,
-    updated_interval,
 )
+from cowslipfork.limits.fair_order import (
+    FairOrder,
+    RequestsAhead,
+    WaitingRequest,
+)
+from cowslipfork.limits.intervals import Intervals
+from cowslipfork.limits.slot_counts import MayUseAnother, SlotCounts
 
 #: Weight of a new service time in the exponential moving average.
 _SMOOTHING: Final = 0.1
@@ -66,44 +66,25 @@
         deadline: loop time in seconds.
         in_transaction: whether the request is a statement inside a
             transaction, which is served before all classes.
+        workspace: workspace of the caller, which gets an even share of the
+            slots of its class; None without workspaces.
     """
 
     request_class: RequestClass
     candidates: Callable[[], Iterable[EndpointId]]
     deadline: float
     in_transaction: bool = False
+    workspace: WorkspaceName | None = None
 
 
-@dataclass(slots=True, eq=False)
-class _Waiter:
+@dataclass(slots=True, eq=False, kw_only=True)
+class _Waiter(WaitingRequest):
     queued_request: QueuedRequest
-    endpoints: frozenset[EndpointId]
-    ahead: int
+    ahead: RequestsAhead
     enqueued_at: float
     granted: asyncio.Future[EndpointId | None]
 
 
-@dataclass(slots=True)
-class _ClassQueue:
-    interval: float
-    waiters: deque[_Waiter] = field(default_factory=deque)
-    virtual_time: float = 0
-
-    def backlog(self, endpoints: frozenset[EndpointId]) -> Backlog:
-        """Returns the requests that wait for some of the endpoints."""
-        waiting = sum(
-            not waiter.endpoints or not waiter.endpoints.isdisjoint(endpoints)
-            for waiter in self.waiters
-        )
-        return Backlog(waiting, self.interval)
-
-    def record_served(self, waiter: _Waiter) -> None:
-        """Updates the interval with a request that waited and got a slot."""
-        now = asyncio.get_running_loop().time()
-        waited = now - waiter.enqueued_at
-        self.interval = updated_interval(self.interval, waited, waiter.ahead)
-
-
 class SlotQueue:
     """Slots of a group's endpoints, and the requests that wait for them."""
 
@@ -112,6 +93,7 @@
         slots: Mapping[EndpointId, int],
         spare_connections: int = 0,
         draw: Callable[[], float] = random.random,
+        may_use_another: MayUseAnother | None = None,
     ) -> None:
         """Starts with all slots free.
 
@@ -121,40 +103,44 @@
                 which make up for those that idle transactions hold.
             draw: returns random numbers from 0 to 1, which spread the callers
                 of rejected requests.
+            may_use_another: limits the connections of a workspace; None for no
+                limit.
         """
         self._draw = draw
-        self._slots = dict(slots)
-        self._spare_connections = spare_connections
-        self._suspended: Counter[EndpointId] = Counter()
-        self._free = dict(slots)
-        self._classes: dict[ClassName, _ClassQueue] = {}
-        self._transaction_waiters: deque[_Waiter] = deque()
-        self._virtual_time: float = 0
+        self._may_use_another = may_use_another
+        self._counts = SlotCounts(slots, spare_connections)
+        self._order: FairOrder[_Waiter] = FairOrder()
+        self._intervals = Intervals()
         self._mean_service_time = _INITIAL_SERVICE_TIME
 
     @property
     def free(self) -> Mapping[EndpointId, int]:
         """Number of free slots by endpoint."""
-        return self._free
+        return self._counts.free
 
     @property
     def waiting(self) -> int:
         """Number of requests that wait for a slot."""
-        queued = sum(
-            len(class_queue.waiters) for class_queue in self._classes.values()
-        )
-        return queued + len(self._transaction_waiters)
+        return len(self._order)
+
+    @property
+    def waiting_by_workspace(self) -> Mapping[WorkspaceName | None, int]:
+        """Number of requests that wait outside of transactions."""
+        return self._order.waiting_by_workspace
 
-    def resize(self, slots: Mapping[EndpointId, int]) -> None:
+    def resize(
+        self,
+        slots: Mapping[EndpointId, int],
+        spare_connections: int | None = None,
+    ) -> None:
         """Changes the number of slots; used ones stay so until released.
 
         Args:
             slots: number of statements that may run at once, by endpoint.
+            spare_connections: number of further connections of each endpoint;
+                None if it stays as it is.
         """
-        for endpoint in self._slots.keys() | slots.keys():
-            change = slots.get(endpoint, 0) - self._slots.get(endpoint, 0)
-            self._free[endpoint] = self._free.get(endpoint, 0) + change
-        self._slots = dict(slots)
+        self._counts.resize(slots, spare_connections)
         self.serve_waiters()
 
     def load(self, endpoint: EndpointId) -> float:
@@ -166,7 +152,7 @@
         Returns:
             The fraction of its slots in use, from 0 to 1.
         """
-        return 1 - self._free[endpoint] / self._slots[endpoint]
+        return self._counts.load(endpoint)
 
     async def acquire(
         self,
@@ -186,35 +172,44 @@
         endpoint = self._try_acquire(queued_request)
         if endpoint is not None:
             return endpoint
-        endpoints = frozenset(queued_request.candidates())
-        backlog = self._class_queue(queued_request).backlog(endpoints)
-        rejection = self._rejection(queued_request, endpoints, backlog)
+        loop = asyncio.get_running_loop()
+        request = _waiting_request(queued_request)
+        ahead = self._order.ahead_of(request)
+        rejection = self._rejection(request, ahead, loop.time())
         if rejection is not None:
             return rejection
-        loop = asyncio.get_running_loop()
         waiter = _Waiter(
-            queued_request,
-            endpoints,
-            backlog.ahead,
-            loop.time(),
-            loop.create_future(),
+            request_class=request.request_class,
+            workspace=request.workspace,
+            endpoints=request.endpoints,
+            deadline=request.deadline,
+            in_transaction=request.in_transaction,
+            queued_request=queued_request,
+            ahead=ahead,
+            enqueued_at=loop.time(),
+            granted=loop.create_future(),
         )
-        self._enqueue(waiter)
+        self._order.add(waiter)
         return await self._wait(waiter)
 
-    def release(self, endpoint: EndpointId, seconds: float) -> None:
+    def release(
+        self,
+        endpoint: EndpointId,
+        seconds: float,
+        workspace: WorkspaceName | None = None,
+    ) -> None:
         """Releases a slot and its connection.
 
         Args:
             endpoint: endpoint of the slot.
             seconds: how long the slot was held; updates the average service
                 time.
+            workspace: workspace of the request that held the slot.
         """
         mean = self._mean_service_time
         seconds = min(seconds, _MAX_SERVICE_RATIO * mean)
         self._mean_service_time += _SMOOTHING * (seconds - mean)
-        self._free[endpoint] += 1
-        self.serve_waiters()
+        self._put_back(endpoint, workspace)
 
     def suspend(self, endpoint: EndpointId) -> None:
         """Releases a slot but keeps its connection, for an idle transaction.
@@ -222,8 +217,7 @@
         Args:
             endpoint: endpoint of the slot.
         """
-        self._suspended[endpoint] += 1
-        self._free[endpoint] += 1
+        self._counts.suspend(endpoint)
         self.serve_waiters()
 
     def resume(self, endpoint: EndpointId) -> None:
@@ -232,65 +226,83 @@
         Args:
             endpoint: endpoint of the connection that was kept.
         """
-        self._suspended[endpoint] -= 1
-        self._free[endpoint] -= 1
+        self._counts.resume(endpoint)
 
     def serve_waiters(self) -> None:
         """Assigns free slots to waiters.
 
         Call it when the endpoints that may serve a request have changed.
         """
-        while any(map(self._is_available, self._free)):
-            served = self._serve_transactions() or self._serve_classes()
-            if not served:
+        while self._counts.any_available:
+            if not self._serve_first():
                 break
 
+    def _serve_first(self) -> bool:
+        """Assigns a free slot to the first waiter that can use one."""
+        now = asyncio.get_running_loop().time()
+        for waiter in self._order.in_order(now):
+            endpoint = self._try_acquire(waiter.queued_request)
+            if endpoint is not None:
+                self._order.remove(waiter)
+                self._record_served(waiter, now)
+                waiter.granted.set_result(endpoint)
+                return True
+        return False
+
     def _try_acquire(self, queued_request: QueuedRequest) -> EndpointId | None:
+        workspace = queued_request.workspace
         endpoint = next(
             (
                 name
                 for name in queued_request.candidates()
-                if self._is_available(name)
+                if self._counts.is_available(name)
+                and self._is_within_limit(name, workspace)
             ),
             None,
         )
         if endpoint is not None:
-            self._free[endpoint] -= 1
-            self._advance_virtual_time(queued_request)
+            self._counts.take(endpoint, workspace)
+            self._record_acquired(queued_request)
         return endpoint
 
-    def _is_available(self, endpoint: EndpointId) -> bool:
-        """Returns whether both a slot and a connection are available."""
-        free = self._free.get(endpoint, 0)
-        return (
-            free > 0
-            and self._suspended[endpoint] < self._spare_connections + free
+    def _is_within_limit(
+        self, endpoint: EndpointId, workspace: WorkspaceName | None
+    ) -> bool:
+        """Returns whether a workspace may use another connection."""
+        if workspace is None or self._may_use_another is None:
+            return True
+        others_wait = self._order.others_wait(endpoint, workspace)
+        return self._may_use_another(
+            self._counts.holding(endpoint, workspace, others_wait=others_wait)
         )
 
-    def _advance_virtual_time(self, queued_request: QueuedRequest) -> None:
+    def _record_acquired(self, queued_request: QueuedRequest) -> None:
+        """Advances the order, except for statements of transactions."""
         if queued_request.in_transaction:
             return
-        class_queue = self._class_queue(queued_request)
-        start = max(class_queue.virtual_time, self._virtual_time)
-        self._virtual_time = start
-        class_queue.virtual_time = (
-            start + 1 / queued_request.request_class.weight
+        self._order.advance(
+            queued_request.request_class, queued_request.workspace
         )
-
-    def _class_queue(self, queued_request: QueuedRequest) -> _ClassQueue:
-        return self._classes.setdefault(
-            queued_request.request_class.name,
-            _ClassQueue(
-                self._mean_service_time / max(1, sum(self._slots.values())),
-                virtual_time=self._virtual_time,
-            ),
+        self._intervals.start(
+            queued_request.request_class, self._initial_interval
         )
 
+    @property
+    def _initial_interval(self) -> float:
+        """Assumed seconds between two services while none was measured."""
+        return self._mean_service_time / max(1, self._counts.total)
+
+    def _backlog(
+        self, request: WaitingRequest, ahead: RequestsAhead
+    ) -> Backlog:
+        self._intervals.start(request.request_class, self._initial_interval)
+        return self._intervals.backlog(request, ahead)
+
     def _rejection(
         self,
-        queued_request: QueuedRequest,
-        endpoints: frozenset[EndpointId],
-        backlog: Backlog,
+        request: WaitingRequest,
+        ahead: RequestsAhead,
+        now: float,
     ) -> QueueRejection | None:
         """Returns why a request may not wait; None if it may.
 
@@ -298,17 +310,16 @@
         not depend on the requests before it.
 
         Args:
-            queued_request: the request.
-            endpoints: endpoints that may serve it now.
-            backlog: requests of its class that wait for them.
+            request: the request.
+            ahead: requests that go before it.
+            now: loop time.
         """
-        if queued_request.in_transaction:
+        if request.in_transaction:
             return None
-        class_queue = self._class_queue(queued_request)
-        full = len(class_queue.waiters) >= queued_request.request_class.queue
-        now = asyncio.get_running_loop().time()
-        longest_wait = max(0, queued_request.deadline - now)
-        if not full and (not endpoints or has_room(backlog, longest_wait)):
+        backlog = self._backlog(request, ahead)
+        longest_wait = max(0, request.deadline - now)
+        room = not request.endpoints or has_room(backlog, longest_wait)
+        if room and not self._order.is_full(request):
             return None
         return self._rejected(backlog, longest_wait, timed_out=False)
 
@@ -322,24 +333,14 @@
         seconds = retry_after(backlog, longest_wait, self._draw())
         return QueueRejection(milliseconds(seconds), timed_out)
 
-    def _record_served(self, waiter: _Waiter) -> None:
-        if waiter.endpoints and not waiter.queued_request.in_transaction:
-            class_queue = self._class_queue(waiter.queued_request)
-            class_queue.record_served(waiter)
-
-    def _enqueue(self, waiter: _Waiter) -> None:
-        if waiter.queued_request.in_transaction:
-            self._transaction_waiters.append(waiter)
-        else:
-            self._class_queue(waiter.queued_request).waiters.append(waiter)
+    def _record_served(self, waiter: _Waiter, now: float) -> None:
+        if waiter.endpoints and not waiter.in_transaction:
+            waited = now - waiter.enqueued_at
+            self._intervals.record_served(waiter, waiter.ahead, waited)
 
     async def _wait(self, waiter: _Waiter) -> EndpointId | QueueRejection:
         loop = asyncio.get_running_loop()
-        timer = loop.call_at(
-            waiter.queued_request.deadline,
-            self._expire,
-            waiter,
-        )
+        timer = loop.call_at(waiter.deadline, self._expire, waiter)
         try:
             endpoint = await waiter.granted
         except asyncio.CancelledError:
@@ -348,8 +349,7 @@
         finally:
             timer.cancel()
         if endpoint is None:
-            class_queue = self._class_queue(waiter.queued_request)
-            backlog = class_queue.backlog(waiter.endpoints)
+            backlog = self._backlog(waiter, self._order.ahead_of(waiter))
             return self._rejected(backlog, 0, timed_out=True)
         return endpoint
 
@@ -366,46 +366,26 @@
             return
         endpoint = granted.result()
         if endpoint is not None:
-            self._free[endpoint] += 1
-            self.serve_waiters()
+            self._put_back(endpoint, waiter.workspace)
 
     def _remove(self, waiter: _Waiter) -> None:
-        waiters = (
-            self._transaction_waiters
-            if waiter.queued_request.in_transaction
-            else self._class_queue(waiter.queued_request).waiters
-        )
-        if waiter in waiters:
-            waiters.remove(waiter)
-
-    def _serve_transactions(self) -> bool:
-        return self._serve_first(self._transaction_waiters)
-
-    def _serve_classes(self) -> bool:
-        class_queues = sorted(
-            (
-                class_queue
-                for class_queue in self._classes.values()
-                if class_queue.waiters
-            ),
-            key=_by_virtual_time,
-        )
-        return any(
-            self._serve_first(class_queue.waiters)
-            for class_queue in class_queues
-        )
+        """Removes a waiter, which may have limited other workspaces."""
+        removed = self._order.remove(waiter)
+        if removed and waiter.workspace is not None:
+            self.serve_waiters()
 
-    def _serve_first(self, waiters: deque[_Waiter]) -> bool:
-        """Assigns a free slot to the first waiter that can use one."""
-        for waiter in waiters:
-            endpoint = self._try_acquire(waiter.queued_request)
-            if endpoint is not None:
-                waiters.remove(waiter)
-                self._record_served(waiter)
-                waiter.granted.set_result(endpoint)
-                return True
-        return False
+    def _put_back(
+        self, endpoint: EndpointId, workspace: WorkspaceName | None
+    ) -> None:
+        self._counts.put_back(endpoint, workspace)
+        self.serve_waiters()
 
 
-def _by_virtual_time(class_queue: _ClassQueue) -> float:
-    return class_queue.virtual_time
+def _waiting_request(queued_request: QueuedRequest) -> WaitingRequest:
+    return WaitingRequest(
+        queued_request.request_class,
+        queued_request.workspace,
+        frozenset(queued_request.candidates()),
+        queued_request.deadline,
+        queued_request.in_transaction,
+    )
--- a/packages/cowslipfork/tests/fakes/load_pattern.py
+++ b/packages/cowslipfork/tests/fakes/load_pattern.py
@@ -15,7 +15,7 @@
 
 @dataclass(frozen=True)
 class CallerClass:
-    """Callers of one class.
+    """Callers of one class and, if there are any, of one workspace.
 
     Attributes:
         request_class: class in the queue.
@@ -23,6 +23,7 @@
         goal: seconds within which an answer is in time.
         deadline: seconds after which the caller gives up.
         retries: most times that a caller comes back after a rejection.
+        workspace: workspace of the callers.
     """
 
     request_class: object
@@ -30,11 +31,17 @@
     goal: float = 0.25
     deadline: float = 2.5
     retries: int = 2
+    workspace: str | None = None
+
+    @property
+    def name(self):
+        """Name of their tally: that of the workspace or of the class."""
+        return self.workspace or self.request_class.name
 
 
 @dataclass
 class Tally:
-    """What became of the requests of one class."""
+    """What became of the requests of one class or workspace."""
 
     asked: int = 0
     #: Answers within the goal, counted from the caller's first try.
@@ -54,7 +61,7 @@
 
     Attributes:
         queue: the queue under test.
-        tallies: results by class name.
+        tallies: results by workspace, or by class without workspaces.
         endpoints: endpoints that may serve a request now.
     """
 
@@ -83,19 +90,21 @@
     async def _call(self, caller):
         loop = asyncio.get_running_loop()
         begun = loop.time()
-        name = caller.request_class.name
-        tally = self.tallies.setdefault(name, Tally())
+        tally = self.tallies.setdefault(caller.name, Tally())
         tally.asked += 1
         for _ in range(1 + caller.retries):
             tried = loop.time()
             wait = min(tried + caller.goal, begun + caller.deadline)
             granted = await self.queue.acquire(
                 QueuedRequest(
-                    caller.request_class, lambda: self.endpoints, wait
+                    caller.request_class,
+                    lambda: self.endpoints,
+                    wait,
+                    workspace=caller.workspace,
                 )
             )
             if not isinstance(granted, QueueRejection):
-                await self._serve(granted)
+                await self._serve(granted, caller.workspace)
                 self._record(tally, caller, begun, tried)
                 return
             tally.held.append(loop.time() - tried)
@@ -104,12 +113,12 @@
                 break
         tally.rejected += 1
 
-    async def _serve(self, endpoint):
+    async def _serve(self, endpoint, workspace):
         # Most take about as long as the mean, some three times as long.
         scale = 3 if self._rng.random() < 0.05 else 0.9
         seconds = self._service_time * scale * self._rng.uniform(0.6, 1.4)
         await asyncio.sleep(seconds)
-        self.queue.release(endpoint, seconds)
+        self.queue.release(endpoint, seconds, workspace)
 
     def _record(self, tally, caller, begun, tried):
         now = asyncio.get_running_loop().time()
