Connection pools by workspace

A pooled connection served any caller, and a node ran as many statements at once as it had connections. With workspaces a connection may serve only one of them, and there are fewer connections than workspaces.

connection_pool holds the connections of an endpoint, pool_policy decides which one is used, opened or evicted. A workspace gets no connection beyond half of the node's share while others wait. set_link_quota takes the statements at once apart from the connections. Control requests use any idle connection. Reads prefer an endpoint with an idle connection of their workspace. A statement's class follows the less urgent of its route's and its workspace's priority.

--- a/packages/cowslipfork-direct/src/cowslipfork_direct/checkout.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/checkout.py
@@ -7,6 +7,7 @@
 from functools import partial
 from typing import Final
 
+from cowslipfork.ids import EndpointId
 from cowslipfork.limits import QueuedRequest, QueueRejection
 from cowslipfork_direct.clock import boot_time
 from cowslipfork_direct.commands import Command
@@ -19,6 +20,7 @@
     LinkRefused,
     ReplyCode,
 )
+from cowslipfork_direct.pool_policy import Wanted
 from cowslipfork_direct.pooled_link import PooledLink
 from cowslipfork_direct.statements import Prepared
 
@@ -26,6 +28,9 @@
 #: refused or is too busy.
 Control = Callable[[Link], Awaitable[EndpointStatus | None]]
 
+#: Releases a slot that was held for a number of seconds.
+ReleaseSlot = Callable[[float], None]
+
 #: Seconds for which an endpoint may still count a connection that was closed
 #: while an answer was outstanding.
 SLOT_RELEASE_DELAY: Final = 0.5
@@ -42,6 +47,7 @@
         group: Group,
         endpoint: Endpoint,
         pooled: PooledLink,
+        release_slot: ReleaseSlot,
     ) -> None:
         """Wraps a connection for which a slot is held.
 
@@ -49,10 +55,12 @@
             group: group of the endpoint.
             endpoint: endpoint of the connection.
             pooled: the connection.
+            release_slot: releases the slot.
         """
         self._group = group
         self._endpoint = endpoint
         self._pooled = pooled
+        self._release_slot = release_slot
         self._checked_out_at = boot_time()
         self._usable = True
         self._returned = False
@@ -224,11 +232,7 @@
         usable = self._usable and not self._transaction_open
         self._endpoint.check_in(self._pooled, usable=usable)
         seconds = boot_time() - self._checked_out_at
-        release = partial(
-            self._group.queue.release,
-            self._endpoint.id,
-            seconds,
-        )
+        release = partial(self._release_slot, seconds)
         if self._usable or self._endpoint.unreachable_since is not None:
             release()
         else:
@@ -247,14 +251,14 @@
 async def check_out(
     group: Group,
     queued_request: QueuedRequest,
-    values: Mapping[str, str],
+    wanted: Wanted,
 ) -> Checkout | QueueRejection | LinkRefused:
     """Waits for a connection of one of several endpoints.
 
     Args:
         group: group of the endpoints.
         queued_request: endpoints in order of preference, and the time-out.
-        values: session values that the connection should preferably have.
+        wanted: what the request needs of the connection.
 
     Returns:
         The checkout, or the reason why there is none; then nothing was sent.
@@ -262,15 +266,26 @@
     granted = await group.queue.acquire(queued_request)
     if isinstance(granted, QueueRejection):
         return granted
+    release_slot = _slot_release(group, granted, queued_request)
     endpoint = group.endpoints.get(granted)
     pooled: PooledLink | None = None
     try:
         if endpoint is None:
             return LinkRefused(granted, 'endpoint has left the group')
-        pooled = await endpoint.check_out(values)
+        pooled = await endpoint.check_out(wanted)
     except LinkRefused as error:
         return error
     finally:
         if pooled is None:
-            group.queue.release(granted, 0)
-    return Checkout(group, endpoint, pooled)
+            release_slot(0)
+    return Checkout(group, endpoint, pooled, release_slot)
+
+
+def _slot_release(
+    group: Group, endpoint: EndpointId, queued_request: QueuedRequest
+) -> ReleaseSlot:
+    def release_slot(seconds: float) -> None:
+        workspace = queued_request.workspace
+        group.queue.release(endpoint, seconds, workspace)
+
+    return release_slot
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/endpoint.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/endpoint.py
@@ -1,27 +1,28 @@
-"""One endpoint: its connection pool, reachability and health."""
+"""One endpoint: its connections, reachability and health."""
 
 from __future__ import annotations
 
 import asyncio
-import random
-from collections import deque
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Sequence
+from dataclasses import replace
 from typing import Final
 
-from cowslipfork.ids import EndpointId, Mark
+from cowslipfork.ids import EndpointId, Mark, WorkspaceName
 from cowslipfork_direct.answer_monitor import SILENCE_LIMIT, AnswerMonitor
 from cowslipfork_direct.clock import boot_time
 from cowslipfork_direct.commands import Command
+from cowslipfork_direct.connection_pool import ConnectionPool
 from cowslipfork_direct.health import Health
 from cowslipfork_direct.latency_estimator import LatencyEstimator
 from cowslipfork_direct.link import (
     EndpointReply,
+    Link,
     LinkLost,
     LinkRefused,
     Network,
-    ReplyCode,
 )
 from cowslipfork_direct.listing import ListedEndpoint
+from cowslipfork_direct.pool_policy import Wanted
 from cowslipfork_direct.pooled_link import PooledLink
 from cowslipfork_direct.reachability import Reachability
 from cowslipfork_direct.relay import Address
@@ -39,25 +40,14 @@
 BEHIND_PAUSE: Final = 0.1
 MAX_BEHIND_PAUSE: Final = 0.8
 
-#: Seconds without use after which a connection is closed, so that other nodes
-#: can connect to the endpoint, even while it still counts connections of dead
-#: nodes.
-IDLE_LIMIT: Final = 1.5
-
-#: The same for connections beyond this node's quota.
-SPARE_IDLE_LIMIT: Final = 0.3
-
-#: Seconds for which no further connection is opened to an endpoint that
-#: refused one as too many: it drops connections of dead machines after 3 s.
-FULL_PAUSE: Final = 0.6
-
 
 class Endpoint:
-    """Connection pool of an endpoint, with its reachability and health.
+    """Connections to an endpoint, with its reachability and health.
 
     Attributes:
         listed: the endpoint's entry in the store.
         status_timeout: timeout of its status requests.
+        pool: connections of this node to it.
     """
 
     def __init__(
@@ -81,9 +71,11 @@
         """
         self.listed = listed
         self.status_timeout = StatusTimeout()
+        self.pool = ConnectionPool(
+            self.id, self._open_link, lambda: on_room_again(self.id)
+        )
         self._network = network
         self._on_change = on_change
-        self._on_room_again = on_room_again
         self._answer_monitor = AnswerMonitor(boot_time)
         self._reachability = Reachability(
             lambda: self.listed.target,
@@ -92,15 +84,11 @@
             relays,
             self._path_changed,
         )
-        self._idle: deque[PooledLink] = deque()
-        self._in_use: set[PooledLink] = set()
         self._mark: Mark | None = None
         self._latency_estimator = LatencyEstimator()
         self._health = Health(boot_time)
-        self._link_quota = 1
         self._behind_until: float = 0
         self._behind_pause = BEHIND_PAUSE
-        self._full_until: float = 0
 
     @property
     def id(self) -> EndpointId:
@@ -120,12 +108,12 @@
     @property
     def in_use(self) -> int:
         """Number of connections in use."""
-        return len(self._in_use)
+        return self.pool.in_use
 
     @property
     def open_links(self) -> int:
         """Number of connections in use and idle."""
-        return len(self._in_use) + len(self._idle)
+        return self.pool.open_links
 
     def likely_has(self, minimum_mark: Mark | None) -> bool:
         """Returns whether it is likely to have applied a log entry.
@@ -142,7 +130,7 @@
     @property
     def has_room(self) -> bool:
         """Whether it has an idle connection or may accept a new one."""
-        return bool(self._idle) or boot_time() >= self._full_until
+        return self.pool.has_room
 
     @property
     def health(self) -> Health:
@@ -186,11 +174,11 @@
         self._answer_monitor.suspect()
         self.request_check()
 
-    async def check_out(self, values: Mapping[str, str]) -> PooledLink:
-        """Checks out a connection, preferably with these session values set.
+    async def check_out(self, wanted: Wanted) -> PooledLink:
+        """Checks out a connection for a request that holds a slot.
 
         Args:
-            values: the caller's session values.
+            wanted: what the request needs of it.
 
         Returns:
             A connection to return by ``check_in``.
@@ -198,9 +186,7 @@
         Raises:
             LinkRefused: no connection could be opened.
         """
-        pooled = self._from_idle(values) or await self._open()
-        self._in_use.add(pooled)
-        return pooled
+        return await self.pool.check_out(wanted)
 
     async def exchange(
         self,
@@ -243,76 +229,23 @@
             pooled: the connection.
             usable: whether it may be used again; otherwise it is closed.
         """
-        was_in_use = pooled in self._in_use
-        self._in_use.discard(pooled)
-        if usable and was_in_use and self.unreachable_since is None:
-            self._idle.append(pooled)
-            self.close_unused()
-            if self.open_links > self._link_quota:
-                loop = asyncio.get_running_loop()
-                loop.call_later(SPARE_IDLE_LIMIT, self.close_unused)
-        else:
-            pooled.link.close()
+        reachable = self.unreachable_since is None
+        self.pool.check_in(pooled, usable=usable and reachable)
 
     def drop_idle(self) -> None:
         """Closes idle connections, as when the path to it may be dead."""
-        while self._idle:
-            self._idle.pop().link.close()
-
-    def close_unused(self) -> None:
-        """Closes connections that exceeded their idle limit."""
-        now = boot_time()
-        while len(self._idle) > 1 and self._idle[0].used_at < now - IDLE_LIMIT:
-            self._idle.popleft().link.close()
-        while (
-            self._idle
-            and self.open_links > self._link_quota
-            and self._idle[0].used_at <= now - SPARE_IDLE_LIMIT
-        ):
-            self._idle.popleft().link.close()
-
-    def set_link_quota(self, links: int) -> None:
-        """Sets how many connections this node may keep open.
-
-        Args:
-            links: the quota; idle connections beyond it are closed.
-        """
-        self._link_quota = links
-        while self._idle and self.open_links > links:
-            self._idle.popleft().link.close()
+        self.pool.drop_idle()
 
     def close(self) -> None:
         """Closes all connections; statements on them are lost."""
-        self.drop_idle()
-        for pooled in tuple(self._in_use):
-            pooled.link.close()
-        self._in_use.clear()
-
-    def _from_idle(self, values: Mapping[str, str]) -> PooledLink | None:
-        chosen = next(
-            (pooled for pooled in self._idle if pooled.has_values(values)),
-            None,
-        )
-        if chosen is not None:
-            self._idle.remove(chosen)
-            return chosen
-        return self._idle.pop() if self._idle else None
-
-    def _note_full(self) -> None:
-        """Pauses new connections for a random time, then reports room."""
-        pause = random.uniform(FULL_PAUSE / 2, FULL_PAUSE)
-        self._full_until = boot_time() + pause
-        loop = asyncio.get_running_loop()
-        loop.call_later(pause, self._on_room_again, self.id)
+        self.pool.close()
 
-    async def _open(self) -> PooledLink:
-        target = self.listed.target
-        if boot_time() < self._full_until:
-            raise LinkRefused(self.id, 'too many connections a moment ago')
+    async def _open_link(self, workspace: WorkspaceName | None) -> Link:
+        target = replace(self.listed.target, workspace=workspace)
         try:
             with self.reply_timer():
                 async with asyncio.timeout(CONNECT_TIMEOUT):
-                    link = await self._network.open_link(
+                    return await self._network.open_link(
                         target,
                         self._reachability.via,
                     )
@@ -321,12 +254,9 @@
         except LinkRefused as error:
             if error.code is None:
                 self.request_check()
-                raise
-            self._answer_monitor.record_answer()
-            if error.code is ReplyCode.TOO_MANY_CONNECTIONS:
-                self._note_full()
+            else:
+                self._answer_monitor.record_answer()
             raise
-        return PooledLink(link, boot_time())
 
     def _path_changed(self) -> None:
         """Closes all connections, since they use the previous path."""
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/endpoint_monitor.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/endpoint_monitor.py
@@ -16,6 +16,7 @@
 from cowslipfork_direct.group import Group
 from cowslipfork_direct.link import EndpointStatus, Link, LinkLost
 from cowslipfork_direct.observed_statuses import Leader
+from cowslipfork_direct.pool_policy import Wanted
 from cowslipfork_direct.status_timeout import MAX_TIMEOUT
 
 log = logging.getLogger(__name__)
@@ -41,6 +42,10 @@
 _CONTROL: Final = RequestClass(ClassName('control'), 1, 1, MAX_TIMEOUT)
 
 
+#: Control requests leave the state of a connection as it is.
+_ANY: Final = Wanted({}, any_workspace=True)
+
+
 class EndpointMonitor:
     """Requests the statuses of one group's endpoints as needed."""
 
@@ -168,7 +173,7 @@
         queued_request = QueuedRequest(
             _CONTROL, lambda: (endpoint.id,), until, True
         )
-        checkout = await check_out(self._group, queued_request, {})
+        checkout = await check_out(self._group, queued_request, _ANY)
         if not isinstance(checkout, Checkout):
             return None
         begun = boot_time()
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/group.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/group.py
@@ -5,10 +5,10 @@
 import asyncio
 import logging
 import math
-from collections.abc import Callable, Iterable, Mapping, Sequence
+from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
 from typing import Final
 
-from cowslipfork.ids import EndpointId, GroupName, Mark, Term
+from cowslipfork.ids import EndpointId, GroupName, Mark, Term, WorkspaceName
 from cowslipfork.limits import SlotQueue
 from cowslipfork_direct.clock import boot_time
 from cowslipfork_direct.endpoint import Endpoint
@@ -25,6 +25,7 @@
     ObservedStatus,
     ObservedStatuses,
 )
+from cowslipfork_direct.pool_policy import may_use_another
 from cowslipfork_direct.relay import Address
 
 log = logging.getLogger(__name__)
@@ -70,7 +71,7 @@
             now: clock in seconds that runs while the machine is suspended.
         """
         self.name = name
-        self.queue = SlotQueue({}, SPARE_LINKS)
+        self.queue = SlotQueue({}, SPARE_LINKS, may_use_another=may_use_another)
         self.leader_lease = LeaderLease(now)
         self.mark_history = MarkHistory()
         self._network = network
@@ -87,6 +88,7 @@
         self._candidate: Leader | None = None
         self._paused = False
         self._link_quota = INITIAL_LINKS
+        self._statements_at_once: int | None = None
         self._changed = asyncio.Event()
         self._uninspected = asyncio.Event()
 
@@ -196,19 +198,39 @@
         )
         for name, entry in entries.items():
             self._relist(self._endpoints[name], entry)
-        self.set_link_quota(self._link_quota)
+        self.set_link_quota(self._link_quota, self._statements_at_once)
         return added
 
-    def set_link_quota(self, links: int) -> None:
+    def set_link_quota(
+        self, links: int, statements_at_once: int | None = None
+    ) -> None:
         """Sets the connection quota of this node at each endpoint.
 
         Args:
             links: connections to each endpoint, at least 1.
+            statements_at_once: statements that this node sends to an endpoint
+                at once, at least 1; the other connections are kept for idle
+                transactions and other workspaces. None for as many as
+                connections, with spare connections beyond them.
         """
         self._link_quota = links
-        self.queue.resize(dict.fromkeys(self._endpoints, links))
+        self._statements_at_once = statements_at_once
+        beyond = SPARE_LINKS if statements_at_once is None else 0
+        slots = min(links, statements_at_once or links)
+        self.queue.resize(
+            dict.fromkeys(self._endpoints, slots), links + beyond - slots
+        )
+        for endpoint in self._endpoints.values():
+            endpoint.pool.set_quota(links, beyond)
+
+    def retire_connections(self, workspaces: Collection[WorkspaceName]) -> None:
+        """Closes connections of workspaces, those in use once returned.
+
+        Args:
+            workspaces: workspaces whose keys were all withdrawn.
+        """
         for endpoint in self._endpoints.values():
-            endpoint.set_link_quota(links)
+            endpoint.pool.retire(workspaces)
 
     def observe(
         self,
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/pooled_link.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/pooled_link.py
@@ -4,15 +4,14 @@
 
 from collections.abc import Iterator, Mapping
 
+from cowslipfork.ids import WorkspaceName
 from cowslipfork_direct.commands import (
     Command,
     Prepare,
     Reset,
     SetValue,
 )
-from cowslipfork_direct.link import (
-    Link,
-)
+from cowslipfork_direct.link import Link
 from cowslipfork_direct.statements import Prepared, StatementName
 
 
@@ -22,20 +21,35 @@
     Attributes:
         link: the connection.
         used_at: boot time of its last answer.
+        retired: whether it must be closed instead of being used again.
     """
 
-    def __init__(self, link: Link, opened_at: float) -> None:
+    def __init__(
+        self,
+        link: Link,
+        opened_at: float,
+        workspace: WorkspaceName | None = None,
+    ) -> None:
         """Wraps a new connection without session state.
 
         Args:
             link: the connection.
             opened_at: boot time at which it was opened.
+            workspace: workspace for which it was opened; None without
+                workspaces.
         """
         self.link = link
         self.used_at = opened_at
+        self.retired = False
+        self._workspace = workspace
         self._values: dict[str, str] = {}
         self._prepared: dict[Prepared, StatementName] = {}
 
+    @property
+    def workspace(self) -> WorkspaceName | None:
+        """Workspace that it serves for its whole lifetime."""
+        return self._workspace
+
     def has_values(self, values: Mapping[str, str]) -> bool:
         """Returns whether exactly these session values are set."""
         return self._values == values
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/reading.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/reading.py
@@ -5,7 +5,7 @@
 from collections.abc import Collection, Iterator
 from typing import Final
 
-from cowslipfork.ids import EndpointId, FailureDomain, Mark
+from cowslipfork.ids import EndpointId, FailureDomain, Mark, WorkspaceName
 from cowslipfork_direct.endpoint import Endpoint
 from cowslipfork_direct.group import Group
 from cowslipfork_direct.work import ServedStatement
@@ -55,6 +55,7 @@
     local_domain: FailureDomain,
     avoided: Collection[EndpointId],
     minimum_mark: Mark | None,
+    workspace: WorkspaceName | None = None,
 ) -> list[EndpointId]:
     """Returns the endpoints that may serve a read of limited age, best first.
 
@@ -63,6 +64,8 @@
         local_domain: failure domain of this node.
         avoided: endpoints that were tried already.
         minimum_mark: mark up to which the endpoint must have applied its log.
+        workspace: workspace of the caller; an endpoint with an idle connection
+            of it is preferred to others that are equally suitable.
     """
     eligible = [
         endpoint
@@ -72,7 +75,15 @@
     ]
     healthy = [endpoint for endpoint in eligible if not endpoint.health.failing]
 
-    def cost(endpoint: Endpoint) -> tuple[bool, int, bool, bool, int]:
+    def distance(endpoint: Endpoint) -> tuple[bool, bool]:
+        return (
+            endpoint.listed.failure_domain != local_domain,
+            workspace is not None and not endpoint.pool.has_idle(workspace),
+        )
+
+    def cost(
+        endpoint: Endpoint,
+    ) -> tuple[bool, int, bool, tuple[bool, bool], int]:
         leads = group.leads(endpoint.id)
         unconfirmed = not leads and not group.follows(endpoint.id)
         return (
@@ -80,7 +91,7 @@
             endpoint.in_use // LOAD_STEP
             + int(endpoint.mean_latency / LATENCY_STEP),
             leads,
-            endpoint.listed.failure_domain != local_domain,
+            distance(endpoint),
             endpoint.in_use,
         )
 
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/single.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/single.py
@@ -196,6 +196,7 @@
             served.service.failure_domain,
             self._avoided,
             minimum_mark,
+            served.workspace,
         )
 
     def _detach_running(self) -> None:
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/transaction.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/transaction.py
@@ -263,7 +263,11 @@
         if minimum_mark is None:
             return list(primary_candidate(group, avoided))
         return read_candidates(
-            group, served.service.failure_domain, avoided, minimum_mark
+            group,
+            served.service.failure_domain,
+            avoided,
+            minimum_mark,
+            served.workspace,
         )
 
     def _minimum_mark(self, served: ServedStatement) -> Mark | None:
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/wait_policy.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/wait_policy.py
@@ -16,6 +16,7 @@
 from cowslipfork.outcomes import NotRun, Reason
 from cowslipfork_direct.checkout import Checkout, check_out
 from cowslipfork_direct.link import LinkRefused
+from cowslipfork_direct.pool_policy import Wanted
 from cowslipfork_direct.work import ServedStatement
 
 #: Seconds before the deadline from which nothing is sent any more: the outcome
@@ -91,10 +92,16 @@
     """
     group = served.service.group
     loop = asyncio.get_running_loop()
+    wanted = Wanted(served.values, served.workspace)
     while True:
         until = wait_deadline(served)
-        queued_request = QueuedRequest(served.request_class, candidates, until)
-        checkout = await check_out(group, queued_request, served.values)
+        queued_request = QueuedRequest(
+            served.request_class,
+            candidates,
+            until,
+            workspace=served.workspace,
+        )
+        checkout = await check_out(group, queued_request, wanted)
         if not isinstance(checkout, QueueRejection) or not checkout.timed_out:
             return checkout
         # If the primary was lost meanwhile, waiting for a new one makes sense.
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/work.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/work.py
@@ -60,6 +60,7 @@
         session_mark: highest mark of the session's writes; a read must show
             them.
         workspace: workspace of the caller; None without workspaces.
+        workspace_priority: priority of that workspace; 0 is the most urgent.
     """
 
     statement: Statement
@@ -70,6 +71,7 @@
     deadline: float
     session_mark: Mark | None
     workspace: WorkspaceName | None = None
+    workspace_priority: int = 0
 
     @property
     def writes(self) -> bool:
@@ -157,16 +159,22 @@
     @property
     def request_class(self) -> RequestClass:
         """Class of the statement in the group's queue."""
-        return request_class_of(self.request.route)
+        return request_class_of(
+            self.request.route, self.request.workspace_priority
+        )
 
 
-def request_class_of(route: Route) -> RequestClass:
+def request_class_of(route: Route, workspace_priority: int = 0) -> RequestClass:
     """Returns the class in which a route's statements wait for connections.
 
+    The less urgent of the two priorities counts.
+
     Args:
         route: the route.
+        workspace_priority: priority of the caller's workspace.
     """
-    priority = max(0, min(route.priority, LOWEST_PRIORITY))
+    urgency = max(route.priority, workspace_priority)
+    priority = max(0, min(urgency, LOWEST_PRIORITY))
     return RequestClass(
         ClassName(f'priority-{priority}'),
         weight=PRIORITY_STEP ** (LOWEST_PRIORITY - priority),
