--- a/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/table.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/table.py
@@ -7,6 +7,7 @@
 
 from cowslipfork_lab.mutants.direct_table import DIRECT_MUTANTS
 from cowslipfork_lab.mutants.mutant import Mutant
+from cowslipfork_lab.mutants.sharing_table import SHARING_MUTANTS
 
 _DOMAIN: Final = PurePosixPath('packages/cowslipfork/src/cowslipfork')
 _PROXY: Final = PurePosixPath(
@@ -144,9 +145,9 @@
     ),
     Mutant(
         'slots of an endpoint are never exceeded',
-        _DOMAIN / 'limits/queue.py',
-        '            self._free[endpoint] -= 1',
-        '            self._free[endpoint] -= 0',
+        _DOMAIN / 'limits/slot_counts.py',
+        '        self._free[endpoint] -= 1\n        if',
+        '        self._free[endpoint] -= 0\n        if',
         f'{_DOMAIN_TESTS}/limits',
     ),
     Mutant(
@@ -165,8 +166,8 @@
     ),
     Mutant(
         'classes share slots by weight',
-        _DOMAIN / 'limits/queue.py',
-        'start + 1 / queued_request.request_class.weight',
+        _DOMAIN / 'limits/fair_order.py',
+        'start + 1 / request_class.weight',
         'start + 1',
         f'{_DOMAIN_TESTS}/limits',
     ),
@@ -213,4 +214,5 @@
         f'{_DOMAIN_TESTS}/membership/test_members_machine.py',
     ),
     *DIRECT_MUTANTS,
+    *SHARING_MUTANTS,
 )
