Rate limits ask the limiter over peer links

The messages are peer requests and replies; the fleet of the tests raises the errors of peer links. The tests of rate_limits and of limits pass.

--- a/packages/cowslipfork-direct/src/cowslipfork_direct/rate_limits/__init__.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/rate_limits/__init__.py
@@ -5,6 +5,7 @@
 from cowslipfork_direct.rate_limits.limits import LimitInForce
 from cowslipfork_direct.rate_limits.messages import (
     Acquire,
+    Acquired,
     Granted,
     NotLimiter,
     Report,
@@ -15,6 +16,7 @@
 
 __all__ = (
     'Acquire',
+    'Acquired',
     'FleetView',
     'Granted',
     'LimitInForce',
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/rate_limits/client.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/rate_limits/client.py
@@ -18,11 +18,13 @@
 from cowslipfork.ids import VmId, WorkspaceName
 from cowslipfork.limits.rate_limit import spread_retry
 from cowslipfork.outcomes import NotRun
+from cowslipfork_direct.peers import PeerClient, PeerError
 from cowslipfork_direct.rate_limits.fallback import Fallback
 from cowslipfork_direct.rate_limits.limiter import Limiter
 from cowslipfork_direct.rate_limits.limits import LimitInForce
 from cowslipfork_direct.rate_limits.messages import (
     Acquire,
+    Acquired,
     Granted,
     NotLimiter,
 )
@@ -31,12 +33,7 @@
     Refusals,
     RefusedBy,
 )
-from cowslipfork_direct.rate_limits.reporter import (
-    NO_REPLY,
-    FleetView,
-    Peers,
-    Reporter,
-)
+from cowslipfork_direct.rate_limits.reporter import FleetView, Reporter
 from cowslipfork_direct.rate_limits.votes import REPORT_INTERVAL
 
 #: Seconds within which the limiter must answer.
@@ -105,7 +102,7 @@
     def __init__(
         self,
         fleet: FleetView,
-        peers: Peers,
+        peers: PeerClient,
         limiter: Limiter,
         limit_of: Callable[[WorkspaceName], LimitInForce],
         workspaces: Callable[[], Iterable[WorkspaceName]],
@@ -227,12 +224,16 @@
     async def _ask(
         self, limiter: VmId, message: Acquire, waiters: Sequence[_Waiter]
     ) -> None:
+        answer: Granted | NotLimiter = NotLimiter()
         try:
-            reply = await self._peers.request(limiter, message, ACQUIRE_TIMEOUT)
-        except NO_REPLY:
+            reply = await self._peers.request(
+                limiter, message, Acquired, ACQUIRE_TIMEOUT
+            )
+        except PeerError:
             self._reporter.refresh()
-            reply = NotLimiter()
-        self._settle(message, waiters, reply)
+        else:
+            answer = reply.answer
+        self._settle(message, waiters, answer)
 
     def _settle(
         self,
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/rate_limits/limiter.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/rate_limits/limiter.py
@@ -24,7 +24,6 @@
 )
 from cowslipfork_direct.rate_limits.messages import (
     Acquire,
-    AcquireReply,
     Granted,
     NotLimiter,
     Report,
@@ -93,7 +92,7 @@
             self._votes.extend_all(self._context.workspaces(), now)
         return Reported(now)
 
-    def acquire(self, message: Acquire) -> AcquireReply:
+    def acquire(self, message: Acquire) -> Granted | NotLimiter:
         """Grants as many operations as there are tokens.
 
         Args:
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/rate_limits/messages.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/rate_limits/messages.py
@@ -5,10 +5,11 @@
 import msgspec
 
 from cowslipfork.ids import Revision, VmId, WorkspaceName
+from cowslipfork_direct.peers import PeerReply, PeerRequest
 from cowslipfork_direct.routes import RateLimit
 
 
-class Acquire(msgspec.Struct, frozen=True, tag=True, omit_defaults=True):
+class Acquire(PeerRequest, frozen=True, tag=True, omit_defaults=True):
     """Asks the limiter for tokens of a workspace.
 
     Attributes:
@@ -32,7 +33,7 @@
 
 
 class Granted(msgspec.Struct, frozen=True, tag=True, omit_defaults=True):
-    """Answers ``Acquire``.
+    """What the limiter answers to ``Acquire``.
 
     Attributes:
         operations: number of operations that may run.
@@ -48,10 +49,20 @@
 
 
 class NotLimiter(msgspec.Struct, frozen=True, tag=True):
-    """Answers ``Acquire`` at a node that is not the workspace's limiter."""
+    """What a node answers that is not the workspace's limiter."""
 
 
-class Report(msgspec.Struct, frozen=True, tag=True, omit_defaults=True):
+class Acquired(PeerReply, frozen=True, tag=True):
+    """Replies to ``Acquire``.
+
+    Attributes:
+        answer: what was granted, or that the node is not the limiter.
+    """
+
+    answer: Granted | NotLimiter
+
+
+class Report(PeerRequest, frozen=True, tag=True, omit_defaults=True):
     """Tells a candidate that a node is there and which candidates it uses.
 
     Attributes:
@@ -70,15 +81,11 @@
     falls_back: bool = False
 
 
-class Reported(msgspec.Struct, frozen=True, tag=True):
-    """Answers ``Report``.
+class Reported(PeerReply, frozen=True, tag=True):
+    """Replies to ``Report``.
 
     Attributes:
         at: seconds of the candidate's clock.
     """
 
     at: float
-
-
-#: Answers to ``Acquire``.
-AcquireReply = Granted | NotLimiter
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/rate_limits/reporter.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/rate_limits/reporter.py
@@ -10,10 +10,10 @@
 import logging
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
-from typing import Any, Final, Protocol
+from typing import Final
 
-from cowslipfork.errors import CowslipforkError
 from cowslipfork.ids import VmId, WorkspaceName
+from cowslipfork_direct.peers import PeerClient, PeerError
 from cowslipfork_direct.rate_limits.candidates import candidates_of, limiter_of
 from cowslipfork_direct.rate_limits.limiter import Limiter
 from cowslipfork_direct.rate_limits.messages import Report, Reported
@@ -24,19 +24,6 @@
 #: Seconds within which a candidate must reply to a report.
 REPORT_TIMEOUT: Final = 0.3
 
-#: What a request to another node raises if it gets no reply.
-NO_REPLY: Final = (CowslipforkError, TimeoutError)
-
-
-class Peers(Protocol):
-    """Requests to other nodes."""
-
-    async def request(self, node: VmId, message: Any, timeout: float) -> Any:
-        """Sends a message and returns its reply."""
-
-    def available(self, node: VmId) -> bool:
-        """Returns whether a node is neither suspected nor leaving."""
-
 
 @dataclass(frozen=True, slots=True)
 class FleetView:
@@ -59,7 +46,7 @@
     """Votes for the candidates that this node can use."""
 
     def __init__(
-        self, fleet: FleetView, peers: Peers, limiter: Limiter
+        self, fleet: FleetView, peers: PeerClient, limiter: Limiter
     ) -> None:
         """Starts without candidates; ``report`` finds them.
 
@@ -144,10 +131,11 @@
             self._limiter.report(own)
             return
         try:
-            reply = await self._peers.request(candidate, report, REPORT_TIMEOUT)
-        except NO_REPLY as error:
+            reply = await self._peers.request(
+                candidate, report, Reported, REPORT_TIMEOUT
+            )
+        except PeerError as error:
             log.debug('report_failed', extra={'cause': str(error)})
             return
-        if isinstance(reply, Reported):
-            self._echoes[candidate] = reply.at
-            self._failed.discard(candidate)
+        self._echoes[candidate] = reply.at
+        self._failed.discard(candidate)
--- a/packages/cowslipfork-direct/tests/fakes/direct_fakes/limited_fleet.py
+++ b/packages/cowslipfork-direct/tests/fakes/direct_fakes/limited_fleet.py
@@ -6,10 +6,11 @@
 import random
 from collections import Counter, deque
 
-from cowslipfork.errors import CowslipforkError
 from cowslipfork.ids import Revision, VmId, WorkspaceName
+from cowslipfork_direct.peers import PeerNotReached, PeerTimedOut
 from cowslipfork_direct.rate_limits import (
     Acquire,
+    Acquired,
     FleetView,
     Limiter,
     LimiterContext,
@@ -34,10 +35,6 @@
 REPORT_INTERVAL = 0.4
 
 
-class NoReply(CowslipforkError):
-    """A request got no reply."""
-
-
 class FakePeers:
     """Requests of one node to others over the fleet's network."""
 
@@ -48,14 +45,18 @@
         self._suspected_until = {}
         self._pauses = {}
 
-    async def request(self, target, message, timeout):
+    async def request(self, target, message, reply_type, timeout):
         answer = self._fleet.send(self._node, target, message)
         try:
             async with asyncio.timeout(timeout):
                 reply = await asyncio.shield(answer)
-        except (TimeoutError, NoReply) as error:
-            self._record_failure(target, refused=isinstance(error, NoReply))
+        except TimeoutError:
+            self._record_failure(target, refused=False)
+            raise PeerTimedOut(target, 'no reply') from None
+        except PeerNotReached:
+            self._record_failure(target, refused=True)
             raise
+        assert isinstance(reply, reply_type)
         self._failing_since.pop(target, None)
         self._pauses.pop(target, None)
         return reply
@@ -122,7 +123,7 @@
 
     def handle(self, message):
         if isinstance(message, Acquire):
-            return self.limiter.acquire(message)
+            return Acquired(self.limiter.acquire(message))
         return self.limiter.report(message)
 
     async def _run(self):
@@ -276,7 +277,7 @@
         receiver = self.nodes[target]
         if receiver.crashed:
             if not answer.done():
-                answer.set_exception(NoReply('refused'))
+                answer.set_exception(PeerNotReached(target, 'refused'))
             return
         if receiver.frozen:
             receiver.inbox.append(
--- a/packages/cowslipfork-direct/tests/rate_limits/test_client.py
+++ b/packages/cowslipfork-direct/tests/rate_limits/test_client.py
@@ -10,7 +10,12 @@
 from cowslipfork.ids import WorkspaceName
 from cowslipfork.logs import fields_of
 from cowslipfork.outcomes import NotRun, Reason
-from cowslipfork_direct.rate_limits import Acquire, Granted, NotLimiter
+from cowslipfork_direct.rate_limits import (
+    Acquire,
+    Acquired,
+    Granted,
+    NotLimiter,
+)
 from cowslipfork_direct.rate_limits.client import (
     ACQUIRE_TIMEOUT,
     FALLBACK_RETRY,
@@ -43,7 +48,7 @@
             if not isinstance(message, Acquire):
                 return handle(message)
             self.asked.append(message)
-            return self.reply(message)
+            return Acquired(self.reply(message))
 
         self.limiter.handle = answer
 
