Rate limits, priorities and withdrawn pools are wired into the node

Cause: the parts for workspaces were built side by side. Change: sessions take the rate limits as a port and give admissions back whose operations did not run; forwarded statements carry the workspace's priority; connections of workspaces without keys are retired. What the composition root gives a node and its gauges have modules of their own. Result: tests of cowslipfork-direct pass; lint and types clean.

--- a/packages/cowslipfork-direct/src/cowslipfork_direct/forwarding/encoding.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/forwarding/encoding.py
@@ -53,6 +53,7 @@
         request.prepared,
         request.session_mark,
         request.workspace,
+        request.workspace_priority,
     )
 
 
@@ -74,6 +75,7 @@
         asyncio.get_running_loop().time() + request.remaining,
         request.session_mark,
         request.workspace,
+        request.workspace_priority,
     )
 
 
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/forwarding/messages.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/forwarding/messages.py
@@ -68,6 +68,7 @@
         prepared: definition of the statement that EXECUTE runs.
         session_mark: highest mark of the session's writes.
         workspace: workspace of the caller.
+        workspace_priority: priority of that workspace.
     """
 
     statement: Statement
@@ -77,6 +78,7 @@
     prepared: Prepared | None = None
     session_mark: Mark | None = None
     workspace: WorkspaceName | None = None
+    workspace_priority: int = 0
 
 
 class RunSingle(PeerRequest, frozen=True):
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/node.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/node.py
@@ -5,13 +5,11 @@
 import asyncio
 import itertools
 import logging
-from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Final
 
-from cowslipfork.ids import FailureDomain, VmId, WorkspaceName
+from cowslipfork.ids import VmId
 from cowslipfork.outcomes import NotRun, Reason
-from cowslipfork.store import Event, LeasingStore, StoreEra
+from cowslipfork.store import Event, StoreEra
 from cowslipfork_direct.carriers import NodeTraits
 from cowslipfork_direct.connected_callers import ConnectedCallers
 from cowslipfork_direct.endpoint import Endpoint
@@ -25,13 +23,22 @@
 )
 from cowslipfork_direct.group import Group
 from cowslipfork_direct.group_services import GroupServices
-from cowslipfork_direct.link import Network
 from cowslipfork_direct.metrics import Metrics
-from cowslipfork_direct.peers import Dial, PeerClient, PeerServer
+from cowslipfork_direct.node_gauges import (
+    add_group_gauges,
+    add_peer_gauges,
+    add_rate_limit_counters,
+)
+from cowslipfork_direct.node_parameters import (
+    CarrierOptions,
+    NodeIdentity,
+    PlatformAdapters,
+)
+from cowslipfork_direct.peers import PeerClient, PeerServer
 from cowslipfork_direct.placement import Placement
-from cowslipfork_direct.promotion import Promotions
+from cowslipfork_direct.rate_limits.assembly import build_rate_limits
 from cowslipfork_direct.registration import Registration, RegistrationHooks
-from cowslipfork_direct.relay import Address, dial
+from cowslipfork_direct.relay import Address
 from cowslipfork_direct.rerouting import ReroutedStore
 from cowslipfork_direct.routes import (
     DatabaseName,
@@ -40,10 +47,8 @@
     RoutingTable,
 )
 from cowslipfork_direct.session import Session, SessionContext
-from cowslipfork_direct.store_era import EraTracker
 from cowslipfork_direct.store_watcher import StoreWatcher
 from cowslipfork_direct.subscriptions import (
-    StoreSchema,
     configuration_subscription,
     listing_subscription,
 )
@@ -71,59 +76,6 @@
 START_RETRY_MS: Final = 500
 
 
-@dataclass(frozen=True, slots=True)
-class PlatformAdapters:
-    """Adapters through which a node uses its platform.
-
-    Attributes:
-        store: returns a client of the platform's store that uses the given
-            relay, or a direct connection for None.
-        store_schema: keys and decoders of the store's values.
-        network: opens connections to endpoints.
-        promotions: sends promotion orders.
-        eras: newest era of the store, which its clients report.
-        dial: opens connections to other nodes.
-    """
-
-    store: Callable[[Address | None], LeasingStore]
-    store_schema: StoreSchema
-    network: Network
-    promotions: Promotions
-    eras: EraTracker
-    dial: Dial = dial
-
-
-@dataclass(frozen=True, slots=True)
-class NodeIdentity:
-    """Name, failure domain and relay address of a node.
-
-    Attributes:
-        name: VM that the node runs on.
-        failure_domain: set of VMs that may fail together with this one.
-        relay: address of its relay for other nodes' connections.
-        capacity: processing capacity of the VM in cores.
-    """
-
-    name: VmId
-    failure_domain: FailureDomain
-    relay: Address
-    capacity: float = 1
-
-
-@dataclass(frozen=True, slots=True)
-class CarrierOptions:
-    """Settings of the choice of carriers.
-
-    Attributes:
-        count: wanted number of carriers of a group.
-        direct_connections: least connections to an endpoint for each node with
-            which all nodes use the endpoints themselves.
-    """
-
-    count: int = 3
-    direct_connections: float = 1
-
-
 class Node:
     """Everything that serves callers, except for their protocol."""
 
@@ -211,6 +163,13 @@
         self._forwarding = Forwarding(
             self._peers, self._placement.table, self._metrics
         )
+        self._rate_limits = build_rate_limits(
+            identity.name,
+            self._fleet,
+            self._view,
+            self._peers,
+            self._peer_server,
+        )
         self._store_watcher = StoreWatcher(
             self._store,
             (
@@ -232,27 +191,13 @@
             self._resolve,
             lambda: self._view.table.transaction_idle,
             self._workspaces.identify,
-            _admit_always,
+            self._workspaces.priority,
+            self._rate_limits,
             self._metrics,
         )
-        self._metrics.add_gauge(
-            'waiting',
-            'Statements that wait for a connection.',
-            'group',
-            self._waiting_by_group,
-        )
-        self._metrics.add_gauge(
-            'connections',
-            'Open connections to endpoints.',
-            'endpoint',
-            self._connections_by_endpoint,
-        )
-        self._metrics.add_gauge(
-            'peer_links',
-            'Open links between this node and others.',
-            'opened_by',
-            self._peer_links,
-        )
+        add_group_gauges(self._metrics, self._view)
+        add_peer_gauges(self._metrics, self._peers, self._peer_server)
+        add_rate_limit_counters(self._metrics, self._rate_limits)
 
     @property
     def configured(self) -> bool:
@@ -339,6 +284,7 @@
                 tasks.create_task(self._registration.run())
                 tasks.create_task(self._settlement.run())
                 tasks.create_task(self._callers.run())
+                tasks.create_task(self._rate_limits.run())
         finally:
             self._close()
 
@@ -390,23 +336,6 @@
         """
         await self._peer_server.serve(reader, writer, hello)
 
-    def _peer_links(self) -> dict[str, float]:
-        return {
-            'this_node': self._peers.open_links,
-            'others': self._peer_server.open_links,
-        }
-
-    def _waiting_by_group(self) -> dict[str, float]:
-        groups = self._view.groups.values()
-        return {group.name: group.queue.waiting for group in groups}
-
-    def _connections_by_endpoint(self) -> dict[str, float]:
-        return {
-            name: endpoint.open_links
-            for group in self._view.groups.values()
-            for name, endpoint in group.endpoints.items()
-        }
-
     def _relays(self) -> list[Address]:
         return self._fleet.relays(self._name)
 
@@ -437,12 +366,17 @@
         self._placement.update()
         self._workspaces.adopt(table)
         self._callers.check_keys()
+        withdrawn = self._workspaces.without_keys
+        for group in self._view.groups.values():
+            group.retire_connections(withdrawn)
 
     def _on_takeover(self, takeover: Takeover) -> None:
         self._services.apply_takeover(takeover)
 
     def _on_nodes_changed(self) -> None:
         self._placement.update()
+        if self._view.table.workspaces:
+            self._rate_limits.refresh()
 
     async def _load_takeovers(self) -> None:
         entries, _ = await self._store.list_prefix(TAKEOVERS_PREFIX)
@@ -483,7 +417,3 @@
             return
         for group in self._view.groups.values():
             group.extend_lease_on_renewal(begun_at)
-
-
-async def _admit_always(_: WorkspaceName) -> None:
-    """Admits an operation of a workspace without a rate limit."""
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/placement.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/placement.py
@@ -2,14 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
 from typing import Final
 
 from cowslipfork.ids import GroupName, VmId
 from cowslipfork_direct.carriers import (
     NO_CARRIER_SHARE,
     EndpointShare,
-    NodeTraits,
     carrier_share,
     uses_carriers,
 )
@@ -53,7 +51,9 @@
         self._fleet = fleet
         self._view = view
         self._direct_connections = direct_connections
-        self._table = CarrierTable(node, self._candidates, carrier_count)
+        self._table = CarrierTable(
+            node, lambda: fleet.carrier_candidates, carrier_count
+        )
 
     @property
     def table(self) -> CarrierTable:
@@ -105,11 +105,6 @@
         group.activity.require(required=is_carrier)
         group.set_link_quota(share.connections, share.statements)
 
-    def _candidates(self) -> Mapping[VmId, NodeTraits]:
-        registered = self._fleet.registered
-        live = registered.keys() & self._fleet.alive or registered.keys()
-        return {node: registered[node].traits for node in live}
-
 
 def _share(group: Group, rules: GroupRules, carriers: int) -> EndpointShare:
     slots = max(
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/session.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/session.py
@@ -4,9 +4,9 @@
 
 import asyncio
 import logging
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Final
+from typing import Final, Protocol
 
 from cowslipfork.ids import Mark, WorkspaceName
 from cowslipfork.outcomes import Done, NotRun, Reason
@@ -36,9 +36,25 @@
 #: route needs none, or why the caller may not use the route.
 Identify = Callable[[Route, KeyDigest | None], WorkspaceName | NotRun | None]
 
-#: Waits until a workspace may start another operation; returns the refusal if
-#: its rate limit does not allow that now.
-Admit = Callable[[WorkspaceName], Awaitable[NotRun | None]]
+
+class Admission(Protocol):
+    """Applies the rate limits of workspaces."""
+
+    async def admit(self, workspace: WorkspaceName) -> NotRun | None:
+        """Waits until a workspace may start another operation.
+
+        Returns:
+            The refusal if its rate limit does not allow that now.
+        """
+
+    def give_back(self, workspace: WorkspaceName, admitted_at: float) -> None:
+        """Takes back the admission of an operation that did not run.
+
+        Args:
+            workspace: workspace of the operation.
+            admitted_at: boot time of its admission.
+        """
+
 
 log = logging.getLogger(__name__)
 
@@ -63,7 +79,8 @@
         idle_limit: returns the longest idle time of a transaction in seconds.
         identify: tells the workspace of the caller; asked again for each
             statement, since keys may be withdrawn.
-        admit: applies the rate limit of a workspace, once for each
+        priority: returns the priority of a workspace.
+        admission: applies the rate limit of a workspace, once for each
             transaction or single statement.
         metrics: metrics of the node.
     """
@@ -71,7 +88,8 @@
     resolve: RouteResolver
     idle_limit: Callable[[], float]
     identify: Identify
-    admit: Admit
+    priority: Callable[[WorkspaceName | None], int]
+    admission: Admission
     metrics: Metrics
 
 
@@ -100,6 +118,8 @@
         self._transaction: ExecutedTransaction | None = None
         self._transaction_failed = False
         self._admitted = False
+        #: Boot time of an admission of which nothing has run yet.
+        self._unused_since: float | None = None
         self._resolved: tuple[Route, StatementExecutor] | None = None
         self._abort_cause: str | None = None
 
@@ -254,6 +274,7 @@
             if transaction is None
             else await transaction.run(request)
         )
+        self._settle_admission(request.workspace, executed)
         await self._record_executed(statement, executed)
         self._log_outcome(
             request, executed, in_transaction=transaction is not None
@@ -290,6 +311,7 @@
             deadline,
             self._mark,
             workspace,
+            self._context.priority(workspace),
         )
 
     async def _admit_workspace(self) -> WorkspaceName | NotRun | None:
@@ -302,13 +324,24 @@
         if self._admitted or isinstance(workspace, NotRun):
             return workspace
         if workspace is not None:
-            refusal = await self._context.admit(workspace)
+            refusal = await self._context.admission.admit(workspace)
             if refusal is not None:
                 return refusal
+            self._unused_since = boot_time()
         self._admitted = True
         # The key may have been withdrawn during the wait.
         return self._identify()
 
+    def _settle_admission(
+        self, workspace: WorkspaceName | None, executed: Executed
+    ) -> None:
+        """Gives an admission back if nothing of the operation has run."""
+        admitted_at = self._unused_since
+        self._unused_since = None
+        not_run = isinstance(executed.outcome, NotRun)
+        if admitted_at is not None and workspace is not None and not_run:
+            self._context.admission.give_back(workspace, admitted_at)
+
     async def _record_executed(
         self, statement: Statement, executed: Executed
     ) -> None:
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/workspaces.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/workspaces.py
@@ -142,6 +142,14 @@
         missing = 'no key was sent' if digest is None else 'the key is unknown'
         return NotRun(Reason.UNKNOWN_KEY, detail=missing)
 
+    @property
+    def without_keys(self) -> frozenset[WorkspaceName]:
+        """Workspaces whose keys were all withdrawn."""
+        known = (self._by_name or {}).values()
+        return frozenset(
+            workspace.name for workspace in known if not workspace.keys
+        )
+
     def find(self, name: WorkspaceName) -> Workspace | None:
         """Returns the workspace of this name; None if there is none."""
         return (self._by_name or {}).get(name)
--- a/packages/cowslipfork-direct/tests/fakes/direct_fakes/world.py
+++ b/packages/cowslipfork-direct/tests/fakes/direct_fakes/world.py
@@ -18,7 +18,11 @@
 from cowslipfork.store.memory import MemoryStore
 from cowslipfork_direct.era_settlement import ERA_KEY, SettledEra
 from cowslipfork_direct.link import LinkRefused, Network, ReplyCode
-from cowslipfork_direct.node import Node, NodeIdentity, PlatformAdapters
+from cowslipfork_direct.node import Node
+from cowslipfork_direct.node_parameters import (
+    NodeIdentity,
+    PlatformAdapters,
+)
 from cowslipfork_direct.promotion import OrderResult
 from cowslipfork_direct.relay import Address, Relay
 from cowslipfork_direct.routes import (
--- a/packages/cowslipfork-direct/tests/test_workspaces.py
+++ b/packages/cowslipfork-direct/tests/test_workspaces.py
@@ -5,6 +5,7 @@
 import random
 from contextlib import asynccontextmanager
 from dataclasses import replace
+from types import SimpleNamespace
 
 import pytest
 from direct_fakes.world import AGED, FRESH, World, run, statement, world
@@ -430,7 +431,9 @@
             async def wait(_):
                 await asyncio.sleep(0.5)
 
-            node._session_context = replace(node._session_context, admit=wait)
+            node._session_context = replace(
+                node._session_context, admission=SimpleNamespace(admit=wait)
+            )
             session = await made.session(key='second-key')
             task = asyncio.create_task(session.run(statement('WRITE a 1')))
             await asyncio.sleep(0.1)
