Nodes stay active for a group while they hold a transaction

Cause: a node that is active for a group only through use became inactive 5 s after the last statement began. It then forgot the group's primary, and the next statement or COMMIT of a transaction that had been idle for longer was answered with ABORTED, although transactions may be idle for 30 s. A carrier that another one replaced aborted its open transactions in this way.

Change: statements and open transactions count as use for as long as they last.

Measured: the new test, with 15 s between WRITE and COMMIT, got NotRun (TRANSACTION_LOST) before and Done now; the node is inactive 6 s after the COMMIT.

--- a/packages/cowslipfork-direct/src/cowslipfork_direct/activity.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/activity.py
@@ -9,7 +9,8 @@
 
 import asyncio
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from typing import Final
 
 #: Seconds after its last use of a group for which a node stays active.
@@ -34,6 +35,7 @@
         self._on_end = on_end
         self._required = True
         self._used_at = -math.inf
+        self._uses = 0
         self._begun = asyncio.Event()
         self._begun.set()
         self._timer: asyncio.TimerHandle | None = None
@@ -65,6 +67,17 @@
         self._used_at = asyncio.get_running_loop().time()
         self._begin()
 
+    @contextmanager
+    def in_use(self) -> Iterator[None]:
+        """Keeps the node active during the block, however long it lasts."""
+        self._uses += 1
+        self.record_use()
+        try:
+            yield
+        finally:
+            self._uses -= 1
+            self.record_use()
+
     def _begin(self) -> None:
         if self.active:
             return
@@ -81,7 +94,10 @@
         self._timer = None
         if self._required:
             return
-        if asyncio.get_running_loop().time() < self._used_at + LINGER:
+        now = asyncio.get_running_loop().time()
+        if self._uses:
+            self._used_at = now
+        if now < self._used_at + LINGER:
             self._check_later()
             return
         self._begun.clear()
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/execution.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/execution.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
+from contextlib import ExitStack
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -85,10 +86,10 @@
 
     async def run_single(self, request: StatementRequest) -> Executed:
         """Runs a statement outside of a transaction."""
-        self._service.group.activity.record_use()
         served = ServedStatement(request, self._service)
         single = SingleStatement(served)
-        outcome = await single.serve()
+        with self._service.group.activity.in_use():
+            outcome = await single.serve()
         return Executed(outcome, single.mark, served.trace.log_fields())
 
     def begin(self, *, read_only: bool) -> LocalTransaction:
@@ -108,10 +109,15 @@
         """
         self._service = service
         self._transaction = Transaction(read_only=read_only)
+        # An inactive node forgets the primary, which aborts its transactions.
+        self._use = ExitStack()
+        self._used = False
 
     async def run(self, request: StatementRequest) -> Executed:
         """Runs a statement or the COMMIT of the transaction."""
-        self._service.group.activity.record_use()
+        if not self._used:
+            self._used = True
+            self._use.enter_context(self._service.group.activity.in_use())
         served = ServedStatement(request, self._service)
         outcome = await self._transaction.run(served)
         fields = served.trace.log_fields()
@@ -119,4 +125,5 @@
 
     async def end(self) -> None:
         """Rolls back what is not committed."""
-        await self._transaction.end()
+        with self._use:
+            await self._transaction.end()
--- a/packages/cowslipfork-direct/tests/test_activity.py
+++ b/packages/cowslipfork-direct/tests/test_activity.py
@@ -87,3 +87,25 @@
             return await session.run(statement('WRITE a 1'))
 
     assert isinstance(run(main()), Done)
+
+
+def test_a_transaction_that_is_idle_keeps_the_node_active():
+    """Guards against the loss of transactions that are idle for `LINGER`."""
+
+    async def main():
+        async with world(nodes=2) as cluster:
+            cluster.configure(transaction_idle=30)
+            await asyncio.sleep(0.5)
+            group = next(iter(cluster.nodes['n2']._view.groups.values()))
+            group.activity.require(required=False)
+            session = await cluster.session(FRESH, 'n2')
+            await session.run(statement('BEGIN'))
+            await session.run(statement('WRITE a 1'))
+            await asyncio.sleep(3 * LINGER)
+            committed = await session.run(statement('COMMIT'))
+            await asyncio.sleep(LINGER + 1)
+            return committed, group.activity.active
+
+    committed, active_afterwards = run(main())
+    assert isinstance(committed, Done)
+    assert not active_afterwards
