Slots are not given to requests that were just cancelled

Cause: the future of a cancelled request is done at once, but the request stays in the queue until its task runs. A slot released in between was assigned to it: set_result raised InvalidStateError at the task that released the slot, and the slot was never free again.

Change: such requests are passed over; their tasks remove them.

Measured: the new test failed with InvalidStateError and passes now.

--- a/packages/cowslipfork/src/cowslipfork/limits/queue.py
+++ b/packages/cowslipfork/src/cowslipfork/limits/queue.py
@@ -241,6 +241,9 @@
         """Assigns a free slot to the first waiter that can use one."""
         now = asyncio.get_running_loop().time()
         for waiter in self._order.in_order(now):
+            if waiter.granted.done():
+                # Its task was cancelled and has not run since then.
+                continue
             endpoint = self._try_acquire(waiter.queued_request)
             if endpoint is not None:
                 self._order.remove(waiter)
--- a/packages/cowslipfork/tests/limits/test_queue.py
+++ b/packages/cowslipfork/tests/limits/test_queue.py
@@ -236,3 +236,19 @@
     assert not waiting.done()
     queue.release(A, 0.001)
     assert await waiting == A
+
+
+async def test_a_slot_is_not_given_to_a_request_that_was_just_cancelled():
+    """Guards against a lost slot and an error at the task that released it."""
+    queue = SlotQueue({A: 1})
+    lookup = request_class('lookup')
+    await queue.acquire(queued_request(lookup, A))
+    cancelled, following = await start_acquiring(
+        queue, queued_request(lookup, A), queued_request(lookup, A)
+    )
+    cancelled.cancel()
+    queue.release(A, 0.001)
+
+    assert await following == A
+    queue.release(A, 0.001)
+    assert queue.free[A] == 1
