Cancelled statements leave no transaction at a carrier

Cause: a transaction at a carrier counted as open only once the first statement had been answered. If the task of that statement was cancelled first, the end of the transaction sent no EndTransaction, and the carrier kept the connection in transaction until the peer link ended.

Change: the transaction counts as open from the moment its first statement is sent.

Measured: the new test found an open transaction at the endpoint when the first statement was cancelled, and finds none now; with a later statement there was none before either.

--- a/packages/cowslipfork-direct/src/cowslipfork_direct/forwarding/remote_transaction.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/forwarding/remote_transaction.py
@@ -126,9 +126,12 @@
         self, search: CarrierSearch, request: StatementRequest
     ) -> Executed | FailedTry:
         """Runs a statement or COMMIT."""
+        was_open = self._open
+        # Also if this task is cancelled while it waits.
+        self._open = True
         result = await search.ask(self._node, partial(self._send, request))
         if isinstance(result, FailedTry):
-            self._open = self._open or result.failure is Failure.LOST
+            self._open = was_open or result.failure is Failure.LOST
         else:
             done = isinstance(result.outcome, Done)
             self._open = done and request.statement.verb is not Verb.COMMIT
--- a/packages/cowslipfork-direct/tests/forwarding/test_remote_transaction.py
+++ b/packages/cowslipfork-direct/tests/forwarding/test_remote_transaction.py
@@ -266,3 +266,24 @@
     assert executed.log_fields['carrier'] == nodes.entry.name
     assert nodes.group.log == ['WRITE a']
     assert not nodes.group.open
+
+
+@pytest.mark.parametrize('before', [(), ('WRITE a',)])
+def test_a_cancelled_statement_leaves_no_transaction_at_the_carrier(before):
+    """Guards against connections and locks that nobody frees."""
+
+    async def main():
+        nodes = Nodes()
+        nodes.carriers[0].local.service_time = 0.02
+        transaction = await nodes.transaction(*before)
+        running = asyncio.create_task(transaction.run(request('WRITE b')))
+        await asyncio.sleep(0.01)
+        running.cancel()
+        await asyncio.wait((running,))
+        await transaction.end()
+        await asyncio.sleep(0.1)
+        return nodes
+
+    nodes = run(main())
+    assert not nodes.group.open
+    assert nodes.carriers[0].service.open_transactions == 0
