A node that leaves stays withdrawn when its lease ends

Cause: a node that leaves removes its leased key, so that others send it no new work. If its lease ended while it drained, registering again wrote the key anew, as did a renewal that was restoring the key while it was removed. If the store was down at that moment the key was never removed.

Change: registering does not write the key of a node that has withdrawn, and each renewal removes it if it is still there.

--- a/packages/cowslipfork-direct/src/cowslipfork_direct/registration.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/registration.py
@@ -158,7 +158,7 @@
             self._record_answer()
             if renewed:
                 self._hooks.on_renewed(begun_at)
-                await self._restore_alive_key()
+                await self._correct_alive_key()
                 await asyncio.sleep(RENEWAL_INTERVAL)
             else:
                 log.warning('lease_ended', extra={'lease': self._lease})
@@ -182,7 +182,7 @@
             (),
             (
                 Put(node_key(self._node), entry),
-                Put(alive_key(self._node), b'', lease),
+                self._alive_put(lease),
             ),
         )
         await self._hooks.load_takeovers()
@@ -195,14 +195,23 @@
             self._store_down = False
             self._hooks.on_store_back()
 
-    async def _restore_alive_key(self) -> None:
-        """Writes the leased key again if the store has dropped the key."""
-        known = self._node in self._fleet.registered
-        missing = known and self._node not in self._fleet.alive
-        missing = missing and not self._withdrawn.is_set()
-        if missing and self._lease is not None:
-            key = alive_key(self._node)
-            await self._store.swap((), (Put(key, b'', self._lease),))
+    async def _correct_alive_key(self) -> None:
+        """Writes the leased key again if the store has dropped the key.
+
+        Removes it if it is still there although the node has withdrawn.
+        """
+        if self._lease is None or self._node not in self._fleet.registered:
+            return
+        wanted = not self._withdrawn.is_set()
+        if wanted is not (self._node in self._fleet.alive):
+            await self._store.swap((), (self._alive_put(self._lease),))
+
+    def _alive_put(self, lease: LeaseId) -> Put:
+        """Returns the write of the leased key, or its removal."""
+        key = alive_key(self._node)
+        if self._withdrawn.is_set():
+            return Put(key, None)
+        return Put(key, b'', lease)
 
     async def _remove_alive_key(self) -> None:
         """Removes the leased key once the node withdraws."""
