Connections of removed workspaces are closed

Cause: only connections of workspaces without keys were closed when a table took effect. A configuration that removes a whole workspace left its idle connections open for up to 30 s, and the last one of an endpoint for longer.

Change: the workspaces that a table removes count as those without keys.

Measured: without_keys was empty after the removal in the new test, and holds the removed workspaces now.

--- a/packages/cowslipfork-direct/src/cowslipfork_direct/workspaces.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/workspaces.py
@@ -78,6 +78,8 @@
         self._revocation = revocation
         self._by_name: Mapping[WorkspaceName, Workspace] | None = None
         self._by_digest: Mapping[KeyDigest, Workspace] = {}
+        #: Workspaces that the last table removed.
+        self._removed: frozenset[WorkspaceName] = frozenset()
 
     @property
     def _outdated(self) -> bool:
@@ -96,6 +98,8 @@
         before = self._by_digest.keys()
         names_before = self._by_name
         self._by_name = table.workspaces
+        names = (table.workspaces or {}).keys()
+        self._removed = frozenset((names_before or {}).keys() - names)
         self._by_digest = {
             digest: workspace
             for workspace in (table.workspaces or {}).values()
@@ -144,11 +148,10 @@
 
     @property
     def without_keys(self) -> frozenset[WorkspaceName]:
-        """Workspaces whose keys were all withdrawn."""
+        """Workspaces without keys, and those that the last table removed."""
         known = (self._by_name or {}).values()
-        return frozenset(
-            workspace.name for workspace in known if not workspace.keys
-        )
+        keyless = {workspace.name for workspace in known if not workspace.keys}
+        return self._removed | keyless
 
     def find(self, name: WorkspaceName) -> Workspace | None:
         """Returns the workspace of this name; None if there is none."""
--- a/packages/cowslipfork-direct/tests/test_workspaces.py
+++ b/packages/cowslipfork-direct/tests/test_workspaces.py
@@ -704,3 +704,14 @@
         if line.getMessage() == 'workspaces_changed'
     ]
     assert lines == [(2, 0), (2, 1)]
+
+
+@pytest.mark.parametrize('left', [(workspace('w', 'k'),), ()])
+def test_a_workspace_that_is_removed_has_no_keys(left):
+    """Guards against connections that are kept for a removed workspace."""
+    known = workspaces_of(workspace('w', 'k'), workspace('x', 'l'))
+    known.adopt(table_of(2, *left))
+    names = {one.name for one in left}
+    assert known.without_keys == {'w', 'x'} - names
+    known.adopt(table_of(3, workspace('w', 'k'), workspace('x', 'l')))
+    assert known.without_keys == set()
