Connections opened late for withdrawn workspaces are closed after use

Cause: the withdrawal of a workspace closed the connections that existed when the table took effect. One that was being opened then, or that was opened for a statement which another node forwarded before it knew of the withdrawal, stayed open.

Change: a pool remembers the withdrawn workspaces until the next table.

Measured: two such connections stayed open in the new test before, none now.

--- a/packages/cowslipfork-direct/src/cowslipfork_direct/connection_pool.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/connection_pool.py
@@ -77,6 +77,7 @@
         self._quota = 1
         self._spare = 0
         self._full_until: float = 0
+        self._withdrawn: frozenset[WorkspaceName] = frozenset()
 
     @property
     def in_use(self) -> int:
@@ -128,7 +129,8 @@
         """
         was_in_use = pooled in self._in_use
         self._in_use.discard(pooled)
-        if not usable or not was_in_use or pooled.retired:
+        retired = pooled.retired or pooled.workspace in self._withdrawn
+        if not usable or not was_in_use or retired:
             pooled.link.close()
             return
         self._idle.append(pooled)
@@ -170,9 +172,14 @@
     def retire(self, workspaces: Collection[WorkspaceName]) -> None:
         """Closes connections of workspaces, those in use once returned.
 
+        So are those opened later, for statements of nodes that do not know of
+        the withdrawal yet.
+
         Args:
-            workspaces: workspaces that have no valid key any more.
+            workspaces: workspaces that have no valid key any more; replaces
+                those of the last call.
         """
+        self._withdrawn = frozenset(workspaces)
         for pooled in (*self._idle, *self._in_use):
             pooled.retired |= pooled.workspace in workspaces
         for unused in tuple(self._idle):
--- a/packages/cowslipfork-direct/tests/test_connection_pool.py
+++ b/packages/cowslipfork-direct/tests/test_connection_pool.py
@@ -188,6 +188,25 @@
     assert [link.workspace for link in opener.open] == [X]
 
 
+def test_connections_opened_for_withdrawn_workspaces_serve_once():
+    """Guards against late statements of other nodes that hold connections."""
+
+    async def main():
+        opener = Opener()
+        pool = pool_of(opener, links=5)
+        opening = asyncio.create_task(use(pool, W))
+        await asyncio.sleep(OPENING_TIME / 2)
+        pool.retire({W})
+        await opening
+        await use(pool, W)
+        withdrawn = len(opener.open)
+        pool.retire(())
+        await use(pool, W)
+        return withdrawn, len(opener.open)
+
+    assert run(main()) == (0, 1)
+
+
 def test_connections_of_workspaces_are_kept_longer():
     """Each of many workspaces has pauses longer than the usual limit."""
 
