Notifications are sent on peer links on which much waits

Cause: beyond 8 MiB of unsent bytes a link took neither requests nor notifications, and PeerLink.notify ignores that error. An EndTransaction that was dropped in this way left the transaction open at its carrier, with its connection and locks, until the link ended.

Change: the bound applies to requests only. There is at most one notification for each open transaction.

Measured: in the new test the notification never arrived before; it arrives now once the link delivers again.

--- a/packages/cowslipfork-direct/src/cowslipfork_direct/peers/client_link.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/peers/client_link.py
@@ -50,7 +50,8 @@
     unused_after=30,
 )
 
-#: Bytes that may wait to be sent on a link; beyond them, nothing is added.
+#: Bytes that may wait to be sent on a link; beyond them, no request is added.
+#: Notifications are, since they end what earlier requests have begun.
 MAX_UNSENT: Final = 8_388_608
 
 _Reply = TypeVar('_Reply')
@@ -132,6 +133,8 @@
             PeerLost: the link ended or the time is over.
             PeerRefused: the other node answered with an error.
         """
+        if self._link.unsent_bytes > MAX_UNSENT:
+            raise PeerNotReached(self._node, 'too much waits to be sent')
         number = RequestNumber(next(self._numbers))
         line = self._send(number, message)
         answer = asyncio.get_running_loop().create_future()
@@ -175,8 +178,6 @@
         """Sends a message; returns the number of its line."""
         if self._ended:
             raise PeerNotReached(self._node, 'link lost')
-        if self._link.unsent_bytes > MAX_UNSENT:
-            raise PeerNotReached(self._node, 'too much waits to be sent')
         name = message.__class__.__name__
         line = encode_line(Request(number, name, encode_body(message)))
         if len(line) > MAX_LINE:
--- a/packages/cowslipfork-direct/tests/peers/test_limits.py
+++ b/packages/cowslipfork-direct/tests/peers/test_limits.py
@@ -2,10 +2,16 @@
 
 import asyncio
 
-from direct_fakes.peer_fixture import Wait, ask, run_peers
+from direct_fakes.peer_fixture import Wait, ask, outcome, run_peers
 from direct_fakes.peer_streams import address_of
 
-from cowslipfork_direct.peers import Acknowledged, PeerRequest, served_link
+from cowslipfork_direct.peers import (
+    Acknowledged,
+    PeerNotReached,
+    PeerRequest,
+    client_link,
+    served_link,
+)
 
 
 class Count(PeerRequest, frozen=True):
@@ -71,6 +77,35 @@
     assert run_peers(main) < 30
 
 
+def test_a_notification_is_sent_behind_requests_that_wait(monkeypatch):
+    """Guards against a rollback that never reaches its carrier."""
+    monkeypatch.setattr(client_link, 'MAX_UNSENT', 1000)
+
+    async def main(network, client, server):
+        notified = asyncio.Event()
+
+        async def handle(_message, _session):
+            notified.set()
+            return Acknowledged()
+
+        server.handle(Count, handle)
+        link = client.reserve('n2')
+        await ask(link)
+        network.blocked.add(('n1', 'n2'))
+        large = asyncio.create_task(ask(link, text=2000 * 'x'))
+        await asyncio.sleep(0.01)
+        refused = await outcome(ask(link))
+        link.notify(Count())
+        link.release()
+        await asyncio.sleep(0.1)
+        network.blocked.clear()
+        await asyncio.wait_for(notified.wait(), 5)
+        await large
+        return refused
+
+    assert isinstance(run_peers(main), PeerNotReached)
+
+
 def test_a_long_line_that_arrives_slowly_is_confirmed():
     """Guards against a link lost because a ping waits behind a long line."""
 
