Connections returned to an inactive node are closed

Cause: a node that becomes inactive for a group closes its idle connections. One that a status request was using at that moment became idle later, and the last idle connection to an endpoint has no idle limit: it stayed open until the node used the group again, although it counts against the few connections that the endpoint accepts.

Change: a checkout that ends on an inactive node closes its connection.

--- a/packages/cowslipfork-direct/src/cowslipfork_direct/checkout.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/checkout.py
@@ -222,14 +222,19 @@
     def release(self) -> None:
         """Ends the checkout.
 
-        The connection is closed if an answer is outstanding or a transaction
-        is open; otherwise it goes back to the pool.
+        The connection is closed if an answer is outstanding, a transaction is
+        open or this node has become inactive; otherwise it goes back to the
+        pool.
         """
         if self._returned:
             return
         self._returned = True
         self._resume()
-        usable = self._usable and not self._transaction_open
+        usable = (
+            self._usable
+            and not self._transaction_open
+            and self._group.activity.active
+        )
         self._endpoint.check_in(self._pooled, usable=usable)
         seconds = boot_time() - self._checked_out_at
         release = partial(self._release_slot, seconds)
--- a/packages/cowslipfork-direct/tests/test_activity.py
+++ b/packages/cowslipfork-direct/tests/test_activity.py
@@ -1,9 +1,11 @@
 import asyncio
 
+from direct_fakes.servers import ONE_WAY
 from direct_fakes.world import FRESH, run, statement, world
 
 from cowslipfork.outcomes import Done
 from cowslipfork_direct.activity import LINGER, Activity
+from cowslipfork_direct.endpoint_monitor import EndpointMonitor
 
 
 def _recorded():
@@ -77,6 +79,26 @@
     assert 'n2' not in suspicions
 
 
+def test_a_connection_that_is_returned_to_an_inactive_node_is_closed():
+    """Guards against a connection that carriers lack and nobody uses."""
+
+    async def main():
+        async with world(nodes=2) as cluster:
+            group = next(iter(cluster.nodes['n2']._view.groups.values()))
+            endpoint = group.endpoints['e2']
+            monitor = EndpointMonitor(group)
+            inspecting = asyncio.create_task(monitor.inspect(endpoint))
+            await asyncio.sleep(ONE_WAY / 2)
+            in_use = endpoint.pool.in_use
+            group.activity.require(required=False)
+            await inspecting
+            await asyncio.sleep(1)
+            links = sum(one.open_links for one in group.endpoints.values())
+            return in_use, links
+
+    assert run(main()) == (1, 0)
+
+
 def test_an_inactive_node_serves_the_statement_that_makes_it_active():
     async def main():
         async with world(nodes=2) as cluster:
