Lost transactions keep their rate limit tokens if they may have run

Cause: a transaction whose first statement ended as NotRun returned its token. That outcome tells only that nothing is kept: the endpoint may have run the statement, and its answer, or the peer link to the carrier, was lost. Under such faults endpoints ran more operations than the limiter counted.

Change: results tell whether an endpoint may have run the statement; if so, its token is not returned. Ran has a new field with a default.

Measured: in the new test the primary ran the first statement and its answer was lost: one token was returned before, none now. A statement that found no connection returns its token before and after.

--- a/packages/cowslipfork-direct/src/cowslipfork_direct/execution.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/execution.py
@@ -27,11 +27,14 @@
         outcome: outcome for the caller.
         mark: mark of a completed write or COMMIT; None otherwise.
         log_fields: details for the statement's line in the log.
+        may_have_run: for ``NotRun``, whether an endpoint may have run the
+            statement in a transaction of which it keeps nothing.
     """
 
     outcome: DirectOutcome
     mark: Mark | None = None
     log_fields: Mapping[str, object] = field(default_factory=dict)
+    may_have_run: bool = False
 
 
 class ExecutedTransaction(Protocol):
@@ -121,7 +124,10 @@
         served = ServedStatement(request, self._service)
         outcome = await self._transaction.run(served)
         fields = served.trace.log_fields()
-        return Executed(outcome, self._transaction.mark, fields)
+        transaction = self._transaction
+        return Executed(
+            outcome, transaction.mark, fields, transaction.may_have_run
+        )
 
     async def end(self) -> None:
         """Rolls back what is not committed."""
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/forwarding/context.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/forwarding/context.py
@@ -4,7 +4,7 @@
 
 import itertools
 from collections.abc import Iterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any, Final
 
 from cowslipfork.ids import TransactionId, VmId
@@ -61,4 +61,4 @@
         'carrier': node,
         'forward_tries': tries,
     }
-    return Executed(executed.outcome, executed.mark, fields)
+    return replace(executed, log_fields=fields)
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/forwarding/encoding.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/forwarding/encoding.py
@@ -89,6 +89,7 @@
         _outcome_reply(executed.outcome),
         executed.mark,
         _encodable(executed.log_fields),
+        executed.may_have_run,
     )
 
 
@@ -98,7 +99,12 @@
     Args:
         reply: the encoded result.
     """
-    return Executed(_outcome_of(reply.outcome), reply.mark, reply.log_fields)
+    return Executed(
+        _outcome_of(reply.outcome),
+        reply.mark,
+        reply.log_fields,
+        reply.may_have_run,
+    )
 
 
 def _forwarded_route(route: Route) -> ForwardedRoute:
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/forwarding/messages.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/forwarding/messages.py
@@ -158,8 +158,11 @@
         outcome: outcome for the caller.
         mark: mark of a completed write or COMMIT.
         log_fields: details for the statement's line in the log.
+        may_have_run: whether an endpoint may have run the statement of a
+            transaction that was lost.
     """
 
     outcome: OutcomeReply
     mark: Mark | None = None
     log_fields: dict[str, LogValue] = {}
+    may_have_run: bool = False
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/forwarding/search.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/forwarding/search.py
@@ -88,9 +88,9 @@
                 break
             node = self._next_node() if self._has_time else None
         commits = self._request.statement.verb is Verb.COMMIT
-        return self._finish(
-            Executed(final_outcome(self._work, commits, self._last))
-        )
+        outcome = final_outcome(self._work, commits, self._last)
+        lost = self._last.failure is Failure.LOST
+        return self._finish(Executed(outcome, may_have_run=lost))
 
     async def ask(self, node: VmId, send: Send) -> Executed | FailedTry:
         """Sends the statement to another node and waits for its result.
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/session.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/session.py
@@ -338,7 +338,9 @@
         """Gives an admission back if nothing of the operation has run."""
         admitted_at = self._unused_since
         self._unused_since = None
-        not_run = isinstance(executed.outcome, NotRun)
+        not_run = (
+            isinstance(executed.outcome, NotRun) and not executed.may_have_run
+        )
         if admitted_at is not None and workspace is not None and not_run:
             self._context.admission.give_back(workspace, admitted_at)
 
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/transaction.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/transaction.py
@@ -77,6 +77,7 @@
         self._read_only = read_only
         self._begun: BegunTransaction | None = None
         self._mark: Mark | None = None
+        self._may_have_run = False
         self._retry_delays = retry_delays()
         self._last = NotRun(Reason.NO_PRIMARY, RETRY_AFTER_MS)
 
@@ -85,6 +86,11 @@
         """Mark of the commit; None before the commit."""
         return self._mark
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether an endpoint may have run a statement of it."""
+        return self._may_have_run
+
     async def run(self, served: ServedStatement) -> DirectOutcome:
         """Runs a statement or the COMMIT of the transaction.
 
@@ -160,7 +166,9 @@
         try:
             reply = await self._send(begun.checkout, served)
         except LinkLost as error:
+            self._may_have_run = True
             return _connection_lost(served, error)
+        self._may_have_run |= reply.code not in NOT_RUN
         if leader is not None:
             served.service.group.note_mark(leader, asked_at, reply.mark)
         return await self._evaluate_reply(begun, served, reply)
--- a/packages/cowslipfork-direct/tests/forwarding/test_encoding.py
+++ b/packages/cowslipfork-direct/tests/forwarding/test_encoding.py
@@ -78,7 +78,9 @@
     | st.builds(Unknown, st.none() | TEXT, NUMBERS, TEXT, REASONS)
 )
 FIELDS = st.dictionaries(TEXT, st.none() | TEXT | NUMBERS | st.booleans())
-EXECUTED = st.builds(Executed, OUTCOMES, st.none() | MARKS, FIELDS)
+EXECUTED = st.builds(
+    Executed, OUTCOMES, st.none() | MARKS, FIELDS, st.booleans()
+)
 
 
 def over_the_wire(message):
--- a/packages/cowslipfork-direct/tests/forwarding/test_remote_transaction.py
+++ b/packages/cowslipfork-direct/tests/forwarding/test_remote_transaction.py
@@ -287,3 +287,22 @@
     nodes = run(main())
     assert not nodes.group.open
     assert nodes.carriers[0].service.open_transactions == 0
+
+
+@pytest.mark.parametrize(
+    ('fault', 'may_have_run'), [(lose_answer, True), (refuse, False)]
+)
+def test_a_lost_first_statement_may_have_run(fault, may_have_run):
+    """Guards against tokens of rate limits returned for what has run."""
+
+    async def main():
+        nodes = Nodes()
+        for host in nodes.hosts.values():
+            fault(nodes, host)
+        nodes.entry.local.outcomes.append(NotRun(Reason.NO_PRIMARY))
+        transaction = nodes.entry.executor.begin(read_only=False)
+        return await transaction.run(request('WRITE a'))
+
+    executed = run(main())
+    assert isinstance(executed.outcome, NotRun)
+    assert executed.may_have_run == may_have_run
--- a/packages/cowslipfork-direct/tests/test_workspaces.py
+++ b/packages/cowslipfork-direct/tests/test_workspaces.py
@@ -8,6 +8,7 @@
 from types import SimpleNamespace
 
 import pytest
+from direct_fakes.servers import ONE_WAY
 from direct_fakes.world import AGED, FRESH, World, run, statement, world
 from expression import Error
 from hypothesis import given
@@ -715,3 +716,50 @@
     assert known.without_keys == {'w', 'x'} - names
     known.adopt(table_of(3, workspace('w', 'k'), workspace('x', 'l')))
     assert known.without_keys == set()
+
+
+class Admissions:
+    """Admits all operations; counts those that are given back."""
+
+    def __init__(self):
+        self.given_back = 0
+
+    async def admit(self, workspace):
+        return None
+
+    def give_back(self, workspace, admitted_at):
+        self.given_back += 1
+
+
+@pytest.mark.parametrize(('reached', 'given_back'), [(True, 0), (False, 1)])
+def test_the_admission_of_a_transaction_that_was_lost_is_used(
+    reached, given_back
+):
+    """Guards against more operations at endpoints than a limit allows."""
+
+    async def main():
+        async with world() as made:
+            configure_keys(made, ONE_KEY)
+            await asyncio.sleep(0.2)
+            node = made.nodes['n1']
+            admissions = Admissions()
+            node._session_context = replace(
+                node._session_context, admission=admissions
+            )
+            session = await made.session(key='first-key')
+            await session.run(statement('BEGIN'))
+            # The primary gets the statement, and its answer is lost.
+            for server in made.servers.values():
+                server.full = not reached
+            task = asyncio.create_task(session.run(statement('WRITE a 1')))
+            # Time for BEGIN, and until the statement has arrived.
+            await asyncio.sleep(6.5 * ONE_WAY)
+            for server in made.servers.values():
+                server.blocked = True
+            outcome = await task
+            return outcome, admissions, made.servers['e1'].statements
+
+    outcome, admissions, statements = run(main())
+    assert isinstance(outcome, NotRun)
+    assert bool(statements) == reached
+    assert admissions.given_back == given_back
