--- a/packages/cowslipfork-direct/src/cowslipfork_direct/fleet.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/fleet.py
@@ -13,6 +13,7 @@
 from cowslipfork.store import Event, LeaseId, StoreEra
 from cowslipfork.weights import rendezvous_weight
 from cowslipfork_direct.carriers import NodeTraits
+from cowslipfork_direct.clock import boot_time
 from cowslipfork_direct.relay import Address
 from cowslipfork_direct.store_watcher import Subscription
 
@@ -25,6 +26,10 @@
 #: Prefix of the keys that are deleted when a node's lease ends.
 ALIVE_PREFIX: Final = 'cowslipfork/alive/'
 
+#: Seconds after the end of its lease for which a node still counts as recently
+#: alive: the store may drop leases of nodes that live and don't reach it.
+RECENTLY: Final = 10.0
+
 
 @dataclass(frozen=True, slots=True)
 class Registered:
@@ -76,6 +81,7 @@
         self._on_change = on_change
         self._registered: dict[VmId, Registered] = {}
         self._alive: set[VmId] = set()
+        self._gone_at: dict[VmId, float] = {}
         self._left: dict[VmId, int] = {}
 
     @property
@@ -102,6 +108,16 @@
             if node in live or not live
         }
 
+    @property
+    def recently_alive(self) -> Mapping[VmId, NodeTraits]:
+        """Registered nodes that are alive, or were within ``RECENTLY``."""
+        earliest = boot_time() - RECENTLY
+        return {
+            node: registered.traits
+            for node, registered in self._registered.items()
+            if node in self._alive or self._gone_at.get(node, 0) > earliest
+        }
+
     def relays(self, besides: VmId) -> list[Address]:
         """Returns the relays of the other nodes that are alive.
 
@@ -152,6 +168,7 @@
             node = VmId(event.key.removeprefix(ALIVE_PREFIX))
             if event.content is None:
                 self._alive.discard(node)
+                self._gone_at[node] = boot_time()
                 log.info('node_gone', extra={'node': node})
             else:
                 self._alive.add(node)
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/rate_limits/assembly.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/rate_limits/assembly.py
@@ -35,7 +35,7 @@
     def capacities() -> dict[VmId, float]:
         return {
             name: traits.capacity
-            for name, traits in fleet.carrier_candidates.items()
+            for name, traits in fleet.recently_alive.items()
         }
 
     def registered() -> int:
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/rate_limits/candidates.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/rate_limits/candidates.py
@@ -39,6 +39,23 @@
     return tuple(sorted(ordered[:CANDIDATE_COUNT]))
 
 
+def limiter_order(
+    workspace: WorkspaceName, usable: Collection[VmId]
+) -> tuple[VmId, ...]:
+    """Returns the nodes that may hold a workspace's bucket, best first.
+
+    Args:
+        workspace: the workspace.
+        usable: candidates that can be reached.
+    """
+    ordered = sorted(
+        usable,
+        key=lambda node: (rendezvous_weight(workspace, node), node),
+        reverse=True,
+    )
+    return tuple(ordered)
+
+
 def limiter_of(
     workspace: WorkspaceName, usable: Collection[VmId]
 ) -> VmId | None:
@@ -51,8 +68,4 @@
     Returns:
         The first of them in rendezvous order, or None without any.
     """
-    return max(
-        usable,
-        key=lambda node: (rendezvous_weight(workspace, node), node),
-        default=None,
-    )
+    return next(iter(limiter_order(workspace, usable)), None)
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/rate_limits/client.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/rate_limits/client.py
@@ -40,6 +40,15 @@
 #: Seconds within which the limiter must answer.
 ACQUIRE_TIMEOUT: Final = 0.15
 
+#: Seconds for which operations wait for a new limiter, and seconds after the
+#: start of this process, or the last limiter's answer, within which there is
+#: likely to be one: most operations are then answered within their goal.
+LIMITER_WAIT: Final = 0.4
+LIMITER_EXPECTED: Final = 3.0
+
+#: Seconds between two rounds of asking all candidates.
+ASK_AGAIN_AFTER: Final = 0.1
+
 #: Greatest number of seconds after which a caller that was refused without a
 #: limiter should retry: by then there is usually a new one.
 FALLBACK_RETRY: Final = 1.5
@@ -131,6 +140,7 @@
         self._reporter = Reporter(fleet, peers, limiter)
         self._demands: dict[WorkspaceName, _Demand] = {}
         self._fell_back = False
+        self._answered_at = fleet.now()
         self._tasks: set[asyncio.Task[None]] = set()
         self._refusals = Refusals()
 
@@ -140,7 +150,10 @@
         return self._refusals
 
     async def admit(self, workspace: WorkspaceName) -> NotRun | None:
-        """Waits until an operation may run, ``ACQUIRE_TIMEOUT`` at most.
+        """Waits until an operation may run.
+
+        The wait is ``ACQUIRE_TIMEOUT`` at most, and ``LIMITER_WAIT`` more while
+        a new limiter is due.
 
         Args:
             workspace: workspace of the operation.
@@ -214,30 +227,59 @@
         message = demand.take_message(
             workspace, len(waiters), limit, self._fleet.now()
         )
-        limiter = self._reporter.limiter_of(workspace)
-        if limiter is None:
-            self._settle(message, waiters, NotLimiter())
-        elif limiter == self._fleet.node:
-            self._settle(message, waiters, self._limiter.acquire(message))
-        else:
-            asking = self._ask(limiter, message, waiters)
-            task = asyncio.create_task(asking)
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+        limiters = self._reporter.limiters_of(workspace)
+        if limiters and limiters[0] == self._fleet.node:
+            answer = self._limiter.acquire(message)
+            if isinstance(answer, Granted):
+                self._settle(message, waiters, answer)
+                return
+        task = asyncio.create_task(self._ask(message, waiters))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _ask(self, message: Acquire, waiters: Sequence[_Waiter]) -> None:
+        """Asks the candidates for tokens, again while a new limiter is due."""
+        begun = self._fleet.now()
+        answer = await self._ask_each(message)
+        while isinstance(answer, NotLimiter) and self._may_ask_again(begun):
+            await asyncio.sleep(ASK_AGAIN_AFTER)
+            answer = await self._ask_each(message)
+        self._settle(message, waiters, answer)
 
-    async def _ask(
-        self, limiter: VmId, message: Acquire, waiters: Sequence[_Waiter]
-    ) -> None:
-        answer: Granted | NotLimiter = NotLimiter()
+    async def _ask_each(self, message: Acquire) -> Granted | NotLimiter:
+        """Asks the candidates in turn, ``ACQUIRE_TIMEOUT`` in all."""
+        until = self._fleet.now() + ACQUIRE_TIMEOUT
+        for limiter in self._reporter.limiters_of(message.workspace):
+            answer = await self._acquire(limiter, message, until)
+            if isinstance(answer, Granted):
+                self._answered_at = self._fleet.now()
+                return answer
+        return NotLimiter()
+
+    async def _acquire(
+        self, limiter: VmId, message: Acquire, until: float
+    ) -> Granted | NotLimiter:
+        if limiter == self._fleet.node:
+            return self._limiter.acquire(message)
+        left = until - self._fleet.now()
+        if left <= 0:
+            return NotLimiter()
         try:
-            reply = await self._peers.request(
-                limiter, message, Acquired, ACQUIRE_TIMEOUT
-            )
+            reply = await self._peers.request(limiter, message, Acquired, left)
         except PeerError:
             self._reporter.refresh()
-        else:
-            answer = reply.answer
-        self._settle(message, waiters, answer)
+            return NotLimiter()
+        return reply.answer
+
+    def _may_ask_again(self, begun: float) -> bool:
+        """Returns whether a limiter is likely to answer soon.
+
+        Args:
+            begun: time at which the operations began to wait.
+        """
+        now = self._fleet.now()
+        expected = now < self._answered_at + LIMITER_EXPECTED
+        return expected and now < begun + LIMITER_WAIT
 
     def _settle(
         self,
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/rate_limits/limiter.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/rate_limits/limiter.py
@@ -20,6 +20,7 @@
 from cowslipfork_direct.rate_limits.limits import (
     FALLBACK_FRACTION,
     LimitInForce,
+    first_tokens,
     newest,
 )
 from cowslipfork_direct.rate_limits.messages import (
@@ -191,7 +192,8 @@
     Until the limiter is asked, all nodes may be granting their own shares.
     """
     own_rate = limit.rate * (1 - FALLBACK_FRACTION)
-    return TokenBucket(own_rate, limit.burst, tenure.since)
+    initial = first_tokens(limit)
+    return TokenBucket(own_rate, limit.burst, tenure.since, initial)
 
 
 def _milliseconds(seconds: float) -> int:
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/rate_limits/reporter.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/rate_limits/reporter.py
@@ -14,7 +14,10 @@
 
 from cowslipfork.ids import VmId, WorkspaceName
 from cowslipfork_direct.peers import PeerClient, PeerError
-from cowslipfork_direct.rate_limits.candidates import candidates_of, limiter_of
+from cowslipfork_direct.rate_limits.candidates import (
+    candidates_of,
+    limiter_order,
+)
 from cowslipfork_direct.rate_limits.limiter import Limiter
 from cowslipfork_direct.rate_limits.messages import Report, Reported
 from cowslipfork_direct.rate_limits.votes import Ballot
@@ -62,13 +65,17 @@
         self._candidates: set[VmId] = set()
         self._failed: set[VmId] = set()
         self._echoes: dict[VmId, float] = {}
-        self._limiters: dict[WorkspaceName, VmId | None] = {}
+        self._limiters: dict[WorkspaceName, tuple[VmId, ...]] = {}
 
-    def limiter_of(self, workspace: WorkspaceName) -> VmId | None:
-        """Returns the node to ask for tokens; None without any candidate."""
+    def limiters_of(self, workspace: WorkspaceName) -> tuple[VmId, ...]:
+        """Returns the nodes to ask for tokens, best first.
+
+        Only the one that a majority votes for grants any; while the views of
+        the nodes differ, this may be another one than the first.
+        """
         if workspace not in self._limiters:
             usable = self._ballot.current
-            self._limiters[workspace] = limiter_of(workspace, usable)
+            self._limiters[workspace] = limiter_order(workspace, usable)
         return self._limiters[workspace]
 
     def refresh(self) -> None:
--- a/packages/cowslipfork/src/cowslipfork/limits/rate_limit.py
+++ b/packages/cowslipfork/src/cowslipfork/limits/rate_limit.py
@@ -35,18 +35,21 @@
     time counts as the latest one.
     """
 
-    def __init__(self, rate: float, burst: float, now: float) -> None:
-        """Starts empty.
+    def __init__(
+        self, rate: float, burst: float, now: float, initial: float = 0
+    ) -> None:
+        """Starts with the initial tokens.
 
         Args:
             rate: tokens per second.
             burst: most tokens that accumulate; at least ``MIN_CAPACITY`` is
                 used.
             now: time from which tokens accumulate.
+            initial: tokens at the start.
         """
         self._rate = rate
         self._capacity = max(MIN_CAPACITY, burst)
-        self._tokens: float = 0
+        self._tokens = initial
         self._filled_at = now
         self._full_at = now
 
