A raised rate limit is in force at once

Cause: an entry node that was told when the next token comes refuses everything until then without a message, also after the limit has changed. Under a rate of 0, or of less than one operation in 5 s, it went on refusing for up to 5 s after the limit was raised.

Change: the time counts only for the limit for which it was told.

Measured: the new test, with a limit raised from 0 to 100/s, was refused with 5000 ms to wait before and is admitted at the first attempt now.

--- a/packages/cowslipfork-direct/src/cowslipfork_direct/rate_limits/client.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/rate_limits/client.py
@@ -35,6 +35,7 @@
 )
 from cowslipfork_direct.rate_limits.reporter import FleetView, Reporter
 from cowslipfork_direct.rate_limits.votes import REPORT_INTERVAL
+from cowslipfork_direct.routes import RateLimit
 
 #: Seconds within which the limiter must answer.
 ACQUIRE_TIMEOUT: Final = 0.15
@@ -57,6 +58,7 @@
     Attributes:
         waiters: operations of this iteration of the event loop.
         no_token_until: time before which the limiter has no token.
+        no_token_limit: limit for which it said that.
         last_retry_at: time at which the last rejected caller should retry.
         refused: operations refused here since the last message.
         returned: granted operations that did not run.
@@ -66,6 +68,7 @@
 
     waiters: list[_Waiter] = field(default_factory=list)
     no_token_until: float = 0
+    no_token_limit: RateLimit | None = None
     last_retry_at: float = 0
     refused: int = 0
     returned: int = 0
@@ -150,7 +153,8 @@
             return None
         demand = self._demands.setdefault(workspace, _Demand())
         now = self._fleet.now()
-        if now < demand.no_token_until:
+        unchanged = limit.limit == demand.no_token_limit
+        if unchanged and now < demand.no_token_until:
             demand.refused += 1
             return self._refuse(workspace, limit, demand)
         waiter: _Waiter = asyncio.get_running_loop().create_future()
@@ -246,7 +250,7 @@
         limit = LimitInForce(message.limit, message.revision)
         if isinstance(reply, Granted):
             demand.fallback.stop()
-            self._note_next_token(demand, reply)
+            self._note_next_token(demand, reply, limit.limit)
             granted = reply.operations
             refuse = self._refuse
         else:
@@ -263,10 +267,13 @@
                     else refuse(message.workspace, limit, demand)
                 )
 
-    def _note_next_token(self, demand: _Demand, granted: Granted) -> None:
+    def _note_next_token(
+        self, demand: _Demand, granted: Granted, limit: RateLimit | None
+    ) -> None:
         if granted.token_after_ms:
             now = self._fleet.now()
             demand.no_token_until = now + granted.token_after_ms / _MS
+            demand.no_token_limit = limit
             demand.last_retry_at = now + granted.last_retry_ms / _MS
 
     def _fall_back(
--- a/packages/cowslipfork-direct/tests/rate_limits/test_client.py
+++ b/packages/cowslipfork-direct/tests/rate_limits/test_client.py
@@ -284,3 +284,23 @@
     assert len(counts) == COUNTED_WORKSPACES + 1
     assert counts['w29'] == 39
     assert counts[OTHER_WORKSPACES] == sum(range(10, 20))
+
+
+def test_a_new_limit_is_in_force_before_the_next_token_of_the_old_one():
+    """Guards against refusals below a limit that was raised."""
+
+    async def play(stage):
+        stage.reply = lambda _: Granted(0, 5000, 5000)
+        await stage.admit()
+        stage.fleet.configure(0, 0, lag=0)
+        await asyncio.sleep(0.01)
+        assert isinstance((await stage.admit())[0], NotRun)
+        asked = len(stage.asked)
+        stage.reply = lambda message: Granted(message.operations)
+        stage.fleet.configure(100, 100, lag=0)
+        await asyncio.sleep(0.01)
+        assert await stage.admit() == [None]
+        assert len(stage.asked) == asked + 1
+        assert await stage.admit() == [None]
+
+    on_stage(play, rate=0, burst=0)
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/table.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/table.py
@@ -304,7 +304,7 @@
     Mutant(
         'rate limits: what is known to be refused is not asked',
         _RATE_LIMITS / 'client.py',
-        'if now < demand.no_token_until:',
+        'if unchanged and now < demand.no_token_until:',
         'if now < 0:',
         f'{_RATE_LIMITS_TESTS}/test_client.py',
     ),
