--- a/Makefile
+++ b/Makefile
@@ -45,10 +45,11 @@
 SEED ?= 1
 SEEDS ?= 10
 SECONDS ?= 20
+OPTIONS ?=
 SOAK_PATH := platform/tests/soak:platform/tests/fakes:packages/cowslipfork/tests/fakes:packages/cowslipfork-direct/tests/fakes
 
 soak: $(READY)
-	PYTHONPATH=$(SOAK_PATH) $(BIN)/python -m soaking $(SEED) $(SEEDS) $(SECONDS)
+	PYTHONPATH=$(SOAK_PATH) $(BIN)/python -m soaking $(SEED) $(SEEDS) $(SECONDS) $(OPTIONS)
 	PROMISES=60 PROMISES_FROM=$(SEED) $(BIN)/python -m pytest packages/cowslipfork-direct/tests/test_promises.py
 	COWSLIPFORK_SOAK=120 COWSLIPFORK_SEED=$(SEED) $(BIN)/python -m pytest -s packages/cowslipfork/tests/groups/test_promises.py
 	SOAK=20 $(BIN)/python -m pytest --hypothesis-seed=$(SEED) packages/cowslipfork/tests/configuration/test_accept_machine.py
