--- a/packages/cowslipfork-direct/tests/test_fleet.py
+++ b/packages/cowslipfork-direct/tests/test_fleet.py
@@ -9,7 +9,13 @@
 from cowslipfork.ids import VmId
 from cowslipfork.store import Event
 from cowslipfork_direct.carriers import NodeTraits
-from cowslipfork_direct.fleet import Fleet, Registered, alive_key, node_key
+from cowslipfork_direct.fleet import (
+    RECENTLY,
+    Fleet,
+    Registered,
+    alive_key,
+    node_key,
+)
 from cowslipfork_direct.registration import Registration, RegistrationHooks
 from cowslipfork_direct.relay import Address
 from cowslipfork_direct.store_era import EraTracker
@@ -91,3 +97,18 @@
 
     entry = msgspec.json.decode(run(main()).content, type=Registered)
     assert entry.traits == NodeTraits('a', 2.15)
+
+
+def test_a_node_whose_lease_was_dropped_counts_as_recently_alive():
+    """The store may drop the leases of nodes that live but don't reach it."""
+
+    async def main():
+        entries = {'n1': registered(1), 'n2': registered(2)}
+        fleet = fleet_of(entries, ['n1', 'n2'])
+        _, alive_keys = fleet.subscriptions()
+        alive_keys.on_events([Event(alive_key('n2'), None, 2)])
+        soon = set(fleet.recently_alive)
+        await asyncio.sleep(RECENTLY + 1)
+        return fleet.alive, soon, set(fleet.recently_alive)
+
+    assert run(main()) == ({'n1'}, {'n1', 'n2'}, {'n1'})
