A part of the node that fails is started again

Cause: an unexpected error in one long-lived task ended the watch of the store, the registration and the withdrawal of keys, while the node went on serving (found in the review, shown by tests/test_long_lived.py). Change: keep_running logs and counts the error and starts the part again. Ruled out: ending the process, which would cut its callers off. Result: the test fails without it (mutant caught).

--- a/packages/cowslipfork-direct/src/cowslipfork_direct/group_services.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/group_services.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Coroutine
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
-from typing import Any, Final
+from typing import Final
 
 from cowslipfork.ids import FailureDomain, GroupName
 from cowslipfork.limits import RetryBudget
@@ -14,6 +14,7 @@
 from cowslipfork_direct.endpoint_monitor import EndpointMonitor
 from cowslipfork_direct.execution import LocalExecutor
 from cowslipfork_direct.group import Group
+from cowslipfork_direct.long_lived import keep_running
 from cowslipfork_direct.takeover import (
     PrimarySupervisor,
     SuspicionReporter,
@@ -66,7 +67,7 @@
     def add(self, added: Group | Endpoint) -> None:
         """Starts the parts of a new group, or the checks of a new endpoint."""
         if isinstance(added, Endpoint):
-            self._start(added.watch())
+            self._start('endpoint', added.watch)
         else:
             self._add_group(added)
 
@@ -115,15 +116,17 @@
         primary_supervisor = PrimarySupervisor(
             context, group, endpoint_monitor, suspicion_reporter
         )
-        for part in (
-            endpoint_monitor,
-            takeover_handler,
-            suspicion_reporter,
-            primary_supervisor,
-        ):
-            self._start(part.run())
-
-    def _start(self, coroutine: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.create_task(coroutine)
+        parts = {
+            'endpoint_monitor': endpoint_monitor.run,
+            'takeover_handler': takeover_handler.run,
+            'suspicion_reporter': suspicion_reporter.run,
+            'primary_supervisor': primary_supervisor.run,
+        }
+        for name, run in parts.items():
+            self._start(name, run)
+
+    def _start(self, name: str, run: Callable[[], Awaitable[None]]) -> None:
+        on_failure = self._context.metrics.count_task_failure
+        task = asyncio.create_task(keep_running(name, run, on_failure))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/metrics.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/metrics.py
@@ -90,6 +90,12 @@
             ('reason',),
             registry=self._registry,
         )
+        self._task_failures = Counter(
+            'cowslipfork_task_failures',
+            'Unexpected errors after which a part of the node was restarted.',
+            ('task',),
+            registry=self._registry,
+        )
         self._gaps = Histogram(
             'cowslipfork_leaderless_seconds',
             'Times without a known primary, by group.',
@@ -124,6 +130,10 @@
         """Counts a caller or statement that was refused for its key."""
         self._refused_keys.labels(reason).inc()
 
+    def count_task_failure(self, task: str) -> None:
+        """Counts an unexpected error in a part of the node."""
+        self._task_failures.labels(task).inc()
+
     def count_store_restore(self) -> None:
         """Counts a return of the store from an older copy."""
         self._store_restores.inc()
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/node.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/node.py
@@ -23,6 +23,7 @@
 )
 from cowslipfork_direct.group import Group
 from cowslipfork_direct.group_services import GroupServices
+from cowslipfork_direct.long_lived import keep_running
 from cowslipfork_direct.metrics import Metrics
 from cowslipfork_direct.node_gauges import (
     add_group_gauges,
@@ -278,13 +279,18 @@
 
     async def run(self) -> None:
         """Watches the store and renews the node's lease until cancelled."""
+        parts = {
+            'store_watcher': self._store_watcher.run,
+            'registration': self._registration.run,
+            'settlement': self._settlement.run,
+            'callers': self._callers.run,
+            'rate_limits': self._rate_limits.run,
+        }
+        on_failure = self._metrics.count_task_failure
         try:
             async with asyncio.TaskGroup() as tasks:
-                tasks.create_task(self._store_watcher.run())
-                tasks.create_task(self._registration.run())
-                tasks.create_task(self._settlement.run())
-                tasks.create_task(self._callers.run())
-                tasks.create_task(self._rate_limits.run())
+                for name, part in parts.items():
+                    tasks.create_task(keep_running(name, part, on_failure))
         finally:
             self._close()
 
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/direct_table.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/direct_table.py
@@ -132,6 +132,13 @@
         'duty_revision',
         _RESTORE,
     ),
+    Mutant(
+        'direct: a part that fails is started again',
+        _DIRECT / 'long_lived.py',
+        '            on_failure(name)\n',
+        '            raise\n',
+        f'{_TESTS}/test_long_lived.py',
+    ),
     Mutant(
         'direct: fences count all eras of the store',
         _DIRECT / 'era_settlement.py',
