--- a/packages/cowslipfork-direct/src/cowslipfork_direct/rate_limits/client.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/rate_limits/client.py
@@ -49,6 +49,12 @@
 #: Seconds between two rounds of asking all candidates.
 ASK_AGAIN_AFTER: Final = 0.1
 
+#: Seconds after the start of a process in which it reports more often, and the
+#: interval of these reports, so that a fleet that starts at once soon has
+#: limiters.
+START_PERIOD: Final = 2.0
+START_INTERVAL: Final = 0.1
+
 #: Greatest number of seconds after which a caller that was refused without a
 #: limiter should retry: by then there is usually a new one.
 FALLBACK_RETRY: Final = 1.5
@@ -203,9 +209,12 @@
 
         A configuration without workspaces causes no messages.
         """
+        started = self._fleet.now()
         while True:
             reports = [self.report()] if any(self._workspaces()) else []
-            await asyncio.gather(*reports, asyncio.sleep(REPORT_INTERVAL))
+            starting = self._fleet.now() < started + START_PERIOD
+            interval = START_INTERVAL if starting else REPORT_INTERVAL
+            await asyncio.gather(*reports, asyncio.sleep(interval))
 
     async def report(self) -> None:
         """Reports to the candidates once."""
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/rate_limits/votes.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/rate_limits/votes.py
@@ -29,6 +29,12 @@
 #: window of 5 s covers.
 VOTE_VALIDITY: Final = 1.0
 
+#: Seconds after its start for which a process does not vote, since an earlier
+#: process may have voted for another candidate. Shorter than the validity, so
+#: that a fleet that starts at once has limiters soon; two of them then overlap
+#: for at most the rest of it, as after a change of the list of nodes.
+VOTING_SILENCE: Final = 0.5
+
 #: Seconds between two reports. Two of them within the validity of a vote leave
 #: 0.2 s for delays.
 REPORT_INTERVAL: Final = 0.4
@@ -52,7 +58,7 @@
         Args:
             now: time of the start in seconds.
         """
-        self._silent_until = now + VOTE_VALIDITY
+        self._silent_until = now + VOTING_SILENCE
         self._current: UsableSet = ()
         self._former: dict[UsableSet, float] = {}
 
@@ -72,9 +78,9 @@
             Whether they have changed.
         """
         changed = usable != self._current
-        if changed:
+        if changed and self._current:
             self._former[self._current] = now + VOTE_VALIDITY
-            self._current = usable
+        self._current = usable
         return changed
 
     def sets(self, now: float) -> tuple[UsableSet, ...]:
