--- a/packages/cowslipfork-direct/src/cowslipfork_direct/activity.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/activity.py
@@ -54,7 +54,7 @@
         """Waits until the node is active."""
         await self._begun.wait()
 
-    def require(self, required: bool) -> None:  # noqa: FBT001
+    def require(self, *, required: bool) -> None:
         """Sets whether the node has to be active without being used."""
         self._required = required
         if required:
