No operation waits forever for a rate limit

Cause: read while going through the change: an unexpected error while asking for tokens would have left the operations of that moment without an answer. Change: they are settled in any case; a limiter on this node counts as one that has answered. Tests for this, and for the wait for a limiter that is due. Result: tests of rate limits pass; the new tests were not run without the change.

--- a/packages/cowslipfork-direct/src/cowslipfork_direct/rate_limits/client.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/rate_limits/client.py
@@ -240,6 +240,7 @@
         if limiters and limiters[0] == self._fleet.node:
             answer = self._limiter.acquire(message)
             if isinstance(answer, Granted):
+                self._answered_at = self._fleet.now()
                 self._settle(message, waiters, answer)
                 return
         task = asyncio.create_task(self._ask(message, waiters))
@@ -249,11 +250,15 @@
     async def _ask(self, message: Acquire, waiters: Sequence[_Waiter]) -> None:
         """Asks the candidates for tokens, again while a new limiter is due."""
         begun = self._fleet.now()
-        answer = await self._ask_each(message)
-        while isinstance(answer, NotLimiter) and self._may_ask_again(begun):
-            await asyncio.sleep(ASK_AGAIN_AFTER)
+        answer: Granted | NotLimiter = NotLimiter()
+        try:
             answer = await self._ask_each(message)
-        self._settle(message, waiters, answer)
+            while isinstance(answer, NotLimiter) and self._may_ask_again(begun):
+                await asyncio.sleep(ASK_AGAIN_AFTER)
+                answer = await self._ask_each(message)
+        finally:
+            # Whatever happens, no operation waits forever.
+            self._settle(message, waiters, answer)
 
     async def _ask_each(self, message: Acquire) -> Granted | NotLimiter:
         """Asks the candidates in turn, ``ACQUIRE_TIMEOUT`` in all."""
--- a/packages/cowslipfork-direct/tests/rate_limits/test_client.py
+++ b/packages/cowslipfork-direct/tests/rate_limits/test_client.py
@@ -18,7 +18,9 @@
 )
 from cowslipfork_direct.rate_limits.client import (
     ACQUIRE_TIMEOUT,
+    ASK_AGAIN_AFTER,
     FALLBACK_RETRY,
+    LIMITER_WAIT,
 )
 from cowslipfork_direct.rate_limits.refusals import (
     COUNTED_WORKSPACES,
@@ -130,6 +132,47 @@
     on_stage(play)
 
 
+def test_operations_wait_for_a_limiter_that_is_due():
+    """After a hand-over a refusal would come just before the next limiter."""
+
+    async def play(stage):
+        await stage.admit()
+        replies = [NotLimiter(), NotLimiter()]
+
+        def reply(message):
+            return replies.pop() if replies else Granted(message.operations)
+
+        stage.reply = reply
+        assert await stage.admit() == [None]
+
+    on_stage(play)
+
+
+def test_operations_wait_for_a_limiter_only_for_a_while():
+    async def play(stage):
+        await stage.admit()
+        stage.reply = lambda _: NotLimiter()
+        begun = stage.fleet.now()
+        refusals = await stage.admit()
+        waited = stage.fleet.now() - begun
+        assert refusals[0].reason is Reason.RATE_LIMITED
+        assert waited <= LIMITER_WAIT + ASK_AGAIN_AFTER + ACQUIRE_TIMEOUT
+
+    on_stage(play)
+
+
+def test_no_operation_waits_forever_after_an_unexpected_error():
+    async def play(stage):
+        def fail(_):
+            raise ValueError('unexpected')
+
+        stage.entry.client._ask_each = fail
+        refusals = await stage.admit()
+        assert refusals[0].reason is Reason.RATE_LIMITED
+
+    on_stage(play)
+
+
 def test_a_node_that_falls_back_grants_half_of_its_share():
     async def play(stage):
         stage.reply = lambda _: NotLimiter()
