Even shares change with the list of nodes only, as before carriers

Since a node's share was divided with each change of the endpoints too; before, a configuration that came after the nodes left them INITIAL_LINKS = 2 connections, not 1. Change: the division follows the list of nodes only. That two connections serve the grown deployment better than its even share of one is left as a finding.

--- a/packages/cowslipfork-direct/src/cowslipfork_direct/placement.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/placement.py
@@ -82,19 +82,29 @@
         return self._fleet.alive | {self._node}
 
     def update(self) -> None:
-        """Applies a change of the nodes, the configuration or the endpoints."""
+        """Applies a change of the configuration or the endpoints.
+
+        The even shares of groups without carriers stay: until the list of
+        nodes changes, a node may use ``INITIAL_LINKS`` connections.
+        """
         self._table.refresh()
         for group in self._view.groups.values():
             rules = self._view.table.groups.get(group.name)
-            if rules is not None:
-                self._apply(group, rules)
-
-    def _apply(self, group: Group, rules: GroupRules) -> None:
-        if not self.has_carriers(group.name):
-            nodes = max(1, len(self._fleet.registered))
-            group.activity.require(required=True)
-            group.set_link_quota(max(1, rules.connections // nodes))
-            return
+            if rules is not None and self.has_carriers(group.name):
+                self._apply_carriers(group, rules)
+            else:
+                group.activity.require(required=True)
+
+    def update_nodes(self) -> None:
+        """Applies a change of the list of nodes."""
+        self.update()
+        nodes = max(1, len(self._fleet.registered))
+        for group in self._view.groups.values():
+            rules = self._view.table.groups.get(group.name)
+            if rules is not None and not self.has_carriers(group.name):
+                group.set_link_quota(max(1, rules.connections // nodes))
+
+    def _apply_carriers(self, group: Group, rules: GroupRules) -> None:
         carriers = self._table.carriers(group.name)
         is_carrier = self._node in carriers
         share = (
