--- a/packages/cowslipfork-direct/src/cowslipfork_direct/registration.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/registration.py
@@ -219,4 +219,4 @@
         try:
             await self._store.swap((), (Put(alive_key(self._node), None),))
         except StoreDown as error:
-            log.info('withdrawal_failed', extra={'cause': str(error)})
+            log.info('alive_key_not_removed', extra={'cause': str(error)})
