--- a/packages/cowslipfork-direct/src/cowslipfork_direct/node.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/node.py
@@ -29,6 +29,7 @@
     add_group_gauges,
     add_peer_gauges,
     add_rate_limit_counters,
+    add_store_gauges,
 )
 from cowslipfork_direct.node_parameters import (
     CarrierOptions,
@@ -197,6 +198,9 @@
             self._metrics,
         )
         add_group_gauges(self._metrics, self._view)
+        add_store_gauges(
+            self._metrics, lambda: self._store_watcher.last_answer_at
+        )
         add_peer_gauges(self._metrics, self._peers, self._peer_server)
         add_rate_limit_counters(self._metrics, self._rate_limits)
 
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/node_gauges.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/node_gauges.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from itertools import chain
 
+from cowslipfork_direct.clock import boot_time
 from cowslipfork_direct.endpoint import Endpoint
 from cowslipfork_direct.metrics import Metrics
 from cowslipfork_direct.peers import PeerClient, PeerServer
@@ -55,6 +56,24 @@
     )
 
 
+def add_store_gauges(
+    metrics: Metrics, last_answer_at: Callable[[], float]
+) -> None:
+    """Adds the age of what this node knows of the store.
+
+    Args:
+        metrics: metrics of the node.
+        last_answer_at: returns the boot time up to which the store's changes
+            are known; minus infinity before the first answer.
+    """
+    metrics.add_gauge(
+        'store_answer_age_seconds',
+        'Time since the last answer of the store to a list or a watch.',
+        'call',
+        lambda: {'list_or_watch': boot_time() - last_answer_at()},
+    )
+
+
 def add_peer_gauges(
     metrics: Metrics, peers: PeerClient, peer_server: PeerServer
 ) -> None:
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/store_watcher.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/store_watcher.py
@@ -40,6 +40,9 @@
 MAX_ANSWER_TIME: Final = 3.5
 
 
+_MS_PER_SECOND: Final = 1000
+
+
 @dataclass(frozen=True, slots=True)
 class Subscription:
     """A callback for changes of keys with a common prefix.
@@ -109,8 +112,10 @@
 
         A watch that was started before the outage may never be answered.
         """
-        if self._watch_task is not None:
-            self._watch_task.cancel()
+        if self._watch_task is None or self._watch_task.done():
+            return
+        log.info('store_watch_restarted', extra={'revision': self._revision})
+        self._watch_task.cancel()
 
     async def run(self) -> None:
         """Watches the store until cancelled."""
@@ -161,6 +166,14 @@
         eras_begun = self._eras_begun
         begun_at = boot_time()
         entries, revision = await self._store.list_prefix('')
+        log.info(
+            'store_listed',
+            extra={
+                'revision': revision,
+                'keys': len(entries),
+                'ms': round((boot_time() - begun_at) * _MS_PER_SECOND),
+            },
+        )
         if eras_begun != self._eras_begun:
             raise EraEnded('list', 'read before the store was restored')
         self._record_answer(begun_at)
