Replaced configurations are not read one by one

What callers saw: a route that had been added was answered NODB over 5 s after its change was acknowledged (CONFIG), while changes came in quick succession. Cause: an answer to a watch holds every change since the last one, also those that a later one replaced. When changes come faster than the node's link carries them, or while it was without an answer, the answers grow and the newest configuration comes last. Change: a watch may limit the size of its answer; the watcher allows twice the store's content, at least 64 KiB, and lists the store when that is exceeded (store_changes_skipped). The limit is part of the store's contract, which all three implementations keep.

--- a/packages/cowslipfork-direct/src/cowslipfork_direct/rerouting.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/rerouting.py
@@ -91,11 +91,13 @@
         self,
         prefix: str,
         after: int,
+        max_size: int | None = None,
     ) -> AsyncIterator[list[Event]]:
         """Yields changes of keys with a prefix; see ``Store``."""
         path = self._relay
         try:
-            async for batch in self._store(path).watch(prefix, after):
+            changes = self._store(path).watch(prefix, after, max_size)
+            async for batch in changes:
                 yield batch
                 self._check_path(path)
         except (HistoryLost, EraEnded):
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/store_watcher.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/store_watcher.py
@@ -15,9 +15,11 @@
     HistoryLost,
     Store,
     StoreDown,
+    TooManyChanges,
     backoff_delays,
 )
 from cowslipfork_direct.clock import boot_time
+from cowslipfork_direct.known_keys import KnownKeys
 
 log = logging.getLogger(__name__)
 
@@ -34,6 +36,13 @@
 #: Seconds to wait after an answer so that the next one holds more changes.
 BATCH_DELAY: Final = 0.04
 
+#: Changes that are longer than this multiple of the store's content are not
+#: read: listing the store tells their result sooner.
+MAX_CHANGES_RATIO: Final = 2
+
+#: Bytes of changes that are always read.
+MIN_CHANGES_SIZE: Final = 65_536
+
 #: Longest regular time in seconds from the call of a watch to its answer. An
 #: answer that took longer may have waited while this VM was suspended, and
 #: shows the store as it was when the call began.
@@ -78,7 +87,7 @@
         """
         self._store = store
         self._subscriptions = tuple(subscriptions)
-        self._revisions: dict[str, int] = {}
+        self._keys = KnownKeys()
         self._revision = 0
         self._store_lost = False
         self._eras_begun = 0
@@ -127,7 +136,7 @@
                 # A listener of the tracker has called start_era already.
                 log.info('store_answer_outdated', extra={'cause': str(error)})
             except HistoryLost as error:
-                log.warning('store_history_lost', extra={'cause': str(error)})
+                _log_unread_changes(error)
                 self._revision = 0
             except StoreDown as error:
                 self._record_lost(error)
@@ -155,7 +164,10 @@
 
     async def _watch(self) -> None:
         begun_at = boot_time()
-        async for events in self._store.watch('', self._revision):
+        max_size = max(
+            MIN_CHANGES_SIZE, MAX_CHANGES_RATIO * self._keys.content_size
+        )
+        async for events in self._store.watch('', self._revision, max_size):
             self._record_answer(begun_at)
             self._apply_events(events)
             # Changes in quick succession then arrive in one answer.
@@ -177,7 +189,7 @@
         if eras_begun != self._eras_begun:
             raise EraEnded('list', 'read before the store was restored')
         self._record_answer(begun_at)
-        absent = self._revisions.keys() - {entry.key for entry in entries}
+        absent = self._keys.absent_from({entry.key for entry in entries})
         if self._restored:
             self._restored = False
             self._apply_restored(entries, absent, revision)
@@ -209,19 +221,17 @@
                 'absent': len(absent),
             },
         )
-        self._revisions = dict.fromkeys(absent, 0)
+        self._keys.restart(absent)
         self._absent_until = boot_time() + ABSENCE_GRACE
         self._apply_events(
             replace(_to_event(entry), restored=True) for entry in entries
         )
 
     def _apply_events(self, events: Iterable[Event]) -> None:
-        new_events = list(filter(self._is_new, events))
+        new_events = list(filter(self._keys.is_new, events))
         for event in new_events:
             self._revision = max(self._revision, event.revision)
-            self._revisions[event.key] = event.revision
-            if event.content is None:
-                self._revisions.pop(event.key)
+            self._keys.add(event)
         for subscription in self._subscriptions:
             matching = [
                 change
@@ -231,9 +241,6 @@
             if matching:
                 subscription.on_events(matching)
 
-    def _is_new(self, event: Event) -> bool:
-        return event.revision > self._revisions.get(event.key, 0)
-
     def _record_lost(self, error: StoreDown) -> None:
         if not self._store_lost:
             log.warning(
@@ -259,3 +266,11 @@
 
 def _to_event(entry: Entry) -> Event:
     return Event(entry.key, entry.content, entry.revision)
+
+
+def _log_unread_changes(error: HistoryLost) -> None:
+    """Logs why the store is listed instead of its changes being read."""
+    if isinstance(error, TooManyChanges):
+        log.info('store_changes_skipped', extra={'cause': str(error)})
+    else:
+        log.warning('store_history_lost', extra={'cause': str(error)})
--- a/packages/cowslipfork-direct/tests/fakes/direct_fakes/world.py
+++ b/packages/cowslipfork-direct/tests/fakes/direct_fakes/world.py
@@ -120,10 +120,10 @@
             raise StoreUncertain('swap', 'answer lost')
         return swapped
 
-    async def watch(self, prefix, after):
+    async def watch(self, prefix, after, max_size=None):
         begun = self.eras.current
         await self._cross_network('watch')
-        async for events in self._shared.watch(prefix, after):
+        async for events in self._shared.watch(prefix, after, max_size):
             while self.blocked:
                 await asyncio.sleep(0.1)
                 raise StoreDown('watch', 'no answer')
--- a/packages/cowslipfork-direct/tests/test_store_watcher.py
+++ b/packages/cowslipfork-direct/tests/test_store_watcher.py
@@ -8,6 +8,7 @@
 from cowslipfork.store.memory import Fault, MemoryStore
 from cowslipfork_direct.store_watcher import (
     MAX_ANSWER_TIME,
+    MIN_CHANGES_SIZE,
     StoreWatcher,
     Subscription,
 )
@@ -64,11 +65,11 @@
     watch = store.watch
     lost_histories = []
 
-    async def watch_with_lost_history(prefix, after):
+    async def watch_with_lost_history(prefix, after, max_size):
         if lost_histories:
             lost_histories.pop()
             raise HistoryLost('watch', 'compacted')
-        async for events in watch(prefix, after):
+        async for events in watch(prefix, after, max_size):
             if lost_histories:
                 return
             yield events
@@ -160,3 +161,44 @@
 
     expected = {'arrival': duration, 'call': 0}[counts_from]
     assert run(main()) == pytest.approx(expected, abs=0.05)
+
+
+def test_replaced_contents_are_skipped_if_listing_is_shorter():
+    store = MemoryStore()
+    store.put('a/1', b'x' * MIN_CHANGES_SIZE)
+
+    async def steps(_):
+        store.fail(Fault.DOWN)
+        await asyncio.sleep(0.1)
+        for number in range(5):
+            store.put('a/1', bytes([number]) * MIN_CHANGES_SIZE)
+        store.heal()
+
+    recorder = watch_during(store, steps, 'a/')
+    assert [content[:1] for _, content in recorder.contents] == [b'x', b'\4']
+
+
+def test_changes_that_are_not_longer_than_the_store_are_all_delivered():
+    store = MemoryStore()
+    store.put('a/1', b'x')
+
+    async def steps(_):
+        store.fail(Fault.DOWN)
+        await asyncio.sleep(0.1)
+        for number in range(5):
+            store.put('a/1', bytes([number]))
+        store.heal()
+
+    recorder = watch_during(store, steps, 'a/')
+    assert len(recorder.contents) == 6
+
+
+def test_a_content_that_grows_is_delivered_once():
+    store = MemoryStore()
+    store.put('a/1', b'x')
+
+    async def steps(_):
+        store.put('a/1', b'y' * 5 * MIN_CHANGES_SIZE)
+
+    recorder = watch_during(store, steps, 'a/')
+    assert [content[:1] for _, content in recorder.contents] == [b'x', b'y']
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/direct_table.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/direct_table.py
@@ -10,7 +10,9 @@
 _DIRECT: Final = PurePosixPath(
     'packages/cowslipfork-direct/src/cowslipfork_direct'
 )
+_PLATFORM: Final = PurePosixPath('platform/src/cowslipfork_platform')
 _TESTS: Final = 'packages/cowslipfork-direct/tests'
+_PLATFORM_TESTS: Final = '-c platform/pyproject.toml platform/tests'
 _MECHANISMS: Final = f'{_TESTS}/test_mechanisms.py'
 _TAKEOVER: Final = f'{_TESTS}/takeover'
 _SESSION: Final = f'{_TESTS}/test_session.py'
@@ -356,4 +358,18 @@
         '',
         f'{_TESTS}/test_fleet.py',
     ),
+    Mutant(
+        'direct: changes that are longer than the store are not read',
+        _DIRECT / 'store_watcher.py',
+        "self._store.watch('', self._revision, max_size)",
+        "self._store.watch('', self._revision)",
+        f'{_TESTS}/test_store_watcher.py',
+    ),
+    Mutant(
+        'platform: an answer that keeps arriving is not given up',
+        _PLATFORM / '_http.py',
+        'lambda: stall.reschedule(clock() + limits.progress),',
+        'lambda: None,',
+        f'{_PLATFORM_TESTS}/test_store.py',
+    ),
 )
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/run.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/run.py
@@ -107,7 +107,7 @@
 
 
 def _environment(copy: Path) -> dict[str, str]:
-    sources = map(str, copy.glob('packages/*/src'))
+    sources = map(str, (*copy.glob('packages/*/src'), copy / 'platform/src'))
     return {**os.environ, 'PYTHONPATH': os.pathsep.join(sources)}
 
 
--- a/packages/cowslipfork/src/cowslipfork/store/__init__.py
+++ b/packages/cowslipfork/src/cowslipfork/store/__init__.py
@@ -16,6 +16,7 @@
     StoreEra,
     StoreUncertain,
     SwapResult,
+    TooManyChanges,
 )
 from cowslipfork.store.rate_limiter import CallRateLimiter
 from cowslipfork.store.unreadable import RecordUnreadable
@@ -37,5 +38,6 @@
     'StoreEra',
     'StoreUncertain',
     'SwapResult',
+    'TooManyChanges',
     'backoff_delays',
 )
--- a/packages/cowslipfork/src/cowslipfork/store/etcd.py
+++ b/packages/cowslipfork/src/cowslipfork/store/etcd.py
@@ -10,6 +10,7 @@
 from aetcd import rpc
 
 from cowslipfork.store import _messages as messages
+from cowslipfork.store.change_size import ensure_short
 from cowslipfork.store.port import (
     Compare,
     Entry,
@@ -148,6 +149,7 @@
         self,
         prefix: str,
         after: int,
+        max_size: int | None = None,
     ) -> AsyncIterator[list[Event]]:
         """Yields changes below a prefix; see ``Store``."""
         await self._prepare('watch')
@@ -158,6 +160,7 @@
                 _check_watch(response)
                 events = [messages.event(change) for change in response.events]
                 if events:
+                    ensure_short(events, max_size)
                     yield events
         except grpc.aio.AioRpcError as error:
             raise StoreDown('watch', _cause(error)) from error
--- a/packages/cowslipfork/src/cowslipfork/store/memory.py
+++ b/packages/cowslipfork/src/cowslipfork/store/memory.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 from enum import Enum, unique
 
+from cowslipfork.store.change_size import ensure_short
 from cowslipfork.store.port import (
     Compare,
     Entry,
@@ -217,6 +218,7 @@
         self,
         prefix: str,
         after: int,
+        max_size: int | None = None,
     ) -> AsyncIterator[list[Event]]:
         """Yields changes below a prefix in the order of their revisions."""
         await self._call('watch')
@@ -232,6 +234,7 @@
             ]
             after = self._revision
             if events:
+                ensure_short(events, max_size)
                 yield events
             if changed is self._changed:
                 await changed.wait()
--- a/packages/cowslipfork/src/cowslipfork/store/port.py
+++ b/packages/cowslipfork/src/cowslipfork/store/port.py
@@ -48,6 +48,10 @@
     """The store has dropped the changes that a watch asked for."""
 
 
+class TooManyChanges(HistoryLost):
+    """The changes that a watch asked for are longer than the watch allowed."""
+
+
 class LeaseLost(StoreDown):
     """The lease has ended; what was to be written with it was not."""
 
@@ -150,10 +154,22 @@
             StoreDown: the call was certainly not made.
         """
 
-    def watch(self, prefix: str, after: int) -> AsyncIterator[list[Event]]:
+    def watch(
+        self,
+        prefix: str,
+        after: int,
+        max_size: int | None = None,
+    ) -> AsyncIterator[list[Event]]:
         """Yields changes below a prefix later than store revision ``after``.
 
+        Args:
+            prefix: prefix of the keys.
+            after: store revision.
+            max_size: most bytes of content to read at a time; None for no
+                limit.
+
         Raises:
+            TooManyChanges: more than ``max_size`` have changed at a time.
             HistoryLost: list again and watch from there.
             StoreDown: the watch broke; it may go on after the last event.
         """
--- a/packages/cowslipfork/tests/fakes/store_contract.py
+++ b/packages/cowslipfork/tests/fakes/store_contract.py
@@ -8,7 +8,13 @@
 
 import pytest
 
-from cowslipfork.store import Compare, Event, Put, StoreUncertain
+from cowslipfork.store import (
+    Compare,
+    Event,
+    Put,
+    StoreUncertain,
+    TooManyChanges,
+)
 from cowslipfork.store.memory import Fault
 
 
@@ -79,6 +85,17 @@
         assert await later == [Event('/w/a', None, third)]
 
 
+async def test_a_watch_refuses_changes_that_are_too_long(store):
+    first = (await store.swap([], [Put('/w/a', b'1')])).revision
+    await store.swap([], [Put('/w/a', b'2' * 100_000)])
+    async with (
+        asyncio.timeout(10),
+        aclosing(store.watch('/w/', first, 10_000)) as watch,
+    ):
+        with pytest.raises(TooManyChanges):
+            await anext(watch)
+
+
 async def test_a_lost_answer_leaves_the_write_done(store):
     store.fail_once(Fault.LOST_ANSWER)
     with pytest.raises(StoreUncertain):
