A watch that was cut does not send its node through a relay

Cause: when the store drops its history it cuts all waiting watches. Each node took that for a broken path and used a relay for at least 2 s, so that the content, which all of them then read whole, passed the slow links of two nodes. Change: a watch whose connection is closed raises WatchCut and goes on with a new connection on the same path; only a second cut without an answer in between changes the path. A watch without an answer changes it at once, as before.

--- a/packages/cowslipfork-direct/src/cowslipfork_direct/rerouting.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/rerouting.py
@@ -21,6 +21,7 @@
     StoreDown,
     StoreUncertain,
     SwapResult,
+    WatchCut,
 )
 from cowslipfork_direct.clock import boot_time
 from cowslipfork_direct.relay import Address
@@ -62,6 +63,7 @@
         self._relay: Address | None = None
         self._last_switch_or_probe: float = 0
         self._no_relay_until: float = 0
+        self._cut_before = False
         self._rotation = itertools.count()
         self._probe: asyncio.Future[None] = asyncio.Future()
         self._probe.set_result(None)
@@ -93,15 +95,23 @@
         after: int,
         max_size: int | None = None,
     ) -> AsyncIterator[list[Event]]:
-        """Yields changes of keys with a prefix; see ``Store``."""
+        """Yields changes of keys with a prefix; see ``Store``.
+
+        A watch that was cut goes on with a new connection on the same path,
+        unless that is cut before its first answer as well.
+        """
         path = self._relay
         try:
             changes = self._store(path).watch(prefix, after, max_size)
             async for batch in changes:
+                self._cut_before = False
                 yield batch
                 self._check_path(path)
         except (HistoryLost, EraEnded):
             raise
+        except WatchCut:
+            self._record_cut(path)
+            raise
         except StoreDown:
             self._switch_path(path)
             raise
@@ -152,6 +162,12 @@
             self._switch_path(path)
             raise
 
+    def _record_cut(self, path: Address | None) -> None:
+        """Switches to another path after two cuts without an answer."""
+        if self._cut_before:
+            self._switch_path(path)
+        self._cut_before = not self._cut_before
+
     def _store(self, path: Address | None) -> LeasingStore:
         if path is None:
             return self._direct
--- a/packages/cowslipfork-direct/tests/test_rerouting.py
+++ b/packages/cowslipfork-direct/tests/test_rerouting.py
@@ -3,7 +3,13 @@
 import pytest
 from direct_fakes.world import NodeStore, run
 
-from cowslipfork.store import Compare, Put, StoreDown, StoreUncertain
+from cowslipfork.store import (
+    Compare,
+    Put,
+    StoreDown,
+    StoreUncertain,
+    WatchCut,
+)
 from cowslipfork.store.memory import MemoryStore
 from cowslipfork_direct.relay import Address
 from cowslipfork_direct.rerouting import DIRECT_RETRY_INTERVAL, ReroutedStore
@@ -97,3 +103,38 @@
         return await anext(paths.store.watch('', 0))
 
     assert [event.key for event in run(main())] == ['k']
+
+
+class CutWatches:
+    """A store that cuts the next watches before they are answered."""
+
+    def __init__(self, cuts):
+        self.cuts = cuts
+
+    async def watch(self, prefix, after, max_size=None):
+        if self.cuts:
+            self.cuts -= 1
+            raise WatchCut('watch', 'connection reset')
+        yield []
+
+
+@pytest.mark.parametrize(
+    ('cuts', 'relay'),
+    [((1,), None), ((2,), RELAY), ((1, 1), None), ((1, 2), RELAY)],
+)
+def test_a_watch_that_was_cut_goes_on_without_a_relay(cuts, relay):
+    """Guards against a detour of all nodes when the store cuts all watches."""
+
+    async def main():
+        direct = CutWatches(0)
+        store = ReroutedStore(
+            lambda via: CutWatches(0) if via else direct, lambda: [RELAY]
+        )
+        for direct.cuts in cuts:
+            for _ in range(direct.cuts):
+                with pytest.raises(WatchCut):
+                    await anext(store.watch('', 0))
+            await anext(store.watch('', 0))
+        return store.relay
+
+    assert run(main()) == relay
--- a/packages/cowslipfork/src/cowslipfork/store/__init__.py
+++ b/packages/cowslipfork/src/cowslipfork/store/__init__.py
@@ -17,6 +17,7 @@
     StoreUncertain,
     SwapResult,
     TooManyChanges,
+    WatchCut,
 )
 from cowslipfork.store.rate_limiter import CallRateLimiter
 from cowslipfork.store.unreadable import RecordUnreadable
@@ -39,5 +40,6 @@
     'StoreUncertain',
     'SwapResult',
     'TooManyChanges',
+    'WatchCut',
     'backoff_delays',
 )
--- a/packages/cowslipfork/src/cowslipfork/store/port.py
+++ b/packages/cowslipfork/src/cowslipfork/store/port.py
@@ -44,6 +44,10 @@
     """
 
 
+class WatchCut(StoreDown):
+    """The store closed a watch's connection; a new one may work at once."""
+
+
 class HistoryLost(StoreDown):
     """The store has dropped the changes that a watch asked for."""
 
