--- a/packages/cowslipfork-direct/src/cowslipfork_direct/rerouting.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/rerouting.py
@@ -183,7 +183,11 @@
     def _probe_direct_if_due(self) -> None:
         """Starts a probe of the direct connection if one is due."""
         due = boot_time() > self._last_switch_or_probe + DIRECT_RETRY_INTERVAL
-        if self._relay and due and self._probe.done():
+        if self._relay and due:
+            self._start_probe()
+
+    def _start_probe(self) -> None:
+        if self._probe.done():
             self._probe = asyncio.ensure_future(self._probe_direct())
 
     async def _probe_direct(self) -> None:
@@ -206,6 +210,7 @@
             relays = self._relays()
             if relays:
                 self._use_path(relays[next(self._rotation) % len(relays)])
+                self._start_probe()
 
     def _use_path(self, path: Address | None) -> None:
         if path is not None or self._relay is not None:
--- a/packages/cowslipfork-direct/tests/test_rerouting.py
+++ b/packages/cowslipfork-direct/tests/test_rerouting.py
@@ -105,6 +105,21 @@
     assert [event.key for event in run(main())] == ['k']
 
 
+def test_a_detour_ends_at_once_if_the_direct_path_works():
+    """Guards against a detour of seconds for one silent connection."""
+
+    async def main():
+        paths = Paths()
+        paths.direct.lose_answers = 1
+        with pytest.raises(StoreUncertain):
+            await paths.store.swap((Compare('k', 0),), (Put('k', b'x'),))
+        detour = paths.store.relay
+        await asyncio.sleep(0.1)
+        return detour, paths.store.relay
+
+    assert run(main()) == (RELAY, None)
+
+
 class CutWatches:
     """A store that cuts the next watches before they are answered."""
 
