A second watch is started beside one that may be dead

Cause: a call that failed and was answered on another path told nobody, so the watch stayed on the dead path until its own limit of 3.2 s. And the pause after a failure never became short again once it had grown. Change: each change of path starts a watch beside the running one; the first to have an answer stays, the oldest is never ended for a newer one (watch_race). The pause starts short again after an answer. Result: test_a_change_of_path_does_not_wait_for_a_silent_watch and test_an_answer_on_its_way_is_not_lost_to_a_restart failed before and pass; the mutants of both are caught.

--- a/packages/cowslipfork-direct/src/cowslipfork_direct/node.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/node.py
@@ -100,7 +100,11 @@
         self._adapters = adapters
         self._name = identity.name
         self._eras = adapters.eras
-        self._store = ReroutedStore(adapters.store, self._relays)
+        self._store = ReroutedStore(
+            adapters.store,
+            self._relays,
+            lambda: self._store_watcher.restart_watch(),
+        )
         self._metrics = Metrics()
         self._view = View(
             adapters.network,
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/rerouting.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/rerouting.py
@@ -48,6 +48,7 @@
         self,
         open_store: Callable[[Address | None], LeasingStore],
         relays: Callable[[], Sequence[Address]],
+        on_switch: Callable[[], None] | None = None,
     ) -> None:
         """Starts with the direct connection.
 
@@ -55,7 +56,10 @@
             open_store: returns a client of the store that uses the given
                 relay, or a direct connection for None.
             relays: returns the relays of other nodes, best first.
+            on_switch: if given, called when another path has come into use;
+                a watch on the one before may never be answered.
         """
+        self._on_switch = on_switch
         self._open_store = open_store
         self._relays = relays
         self._direct = open_store(None)
@@ -213,10 +217,13 @@
                 self._start_probe()
 
     def _use_path(self, path: Address | None) -> None:
-        if path is not None or self._relay is not None:
+        before = self._relay
+        self._relay = path
+        self._last_switch_or_probe = boot_time()
+        if path != before:
             log.warning(
                 'store_way',
                 extra={'via': path.host if path else 'direct'},
             )
-        self._relay = path
-        self._last_switch_or_probe = boot_time()
+            if self._on_switch is not None:
+                self._on_switch()
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/store_watcher.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/store_watcher.py
@@ -4,7 +4,13 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Collection, Iterable, Sequence
+from collections.abc import (
+    Callable,
+    Collection,
+    Iterable,
+    Iterator,
+    Sequence,
+)
 from dataclasses import dataclass, replace
 from typing import Final
 
@@ -20,6 +26,7 @@
 )
 from cowslipfork_direct.clock import boot_time
 from cowslipfork_direct.known_keys import KnownKeys
+from cowslipfork_direct.watch_race import WatchRace
 
 log = logging.getLogger(__name__)
 
@@ -93,8 +100,9 @@
         self._eras_begun = 0
         self._restored = False
         self._absent_until: float | None = None
-        self._watch_task: asyncio.Task[None] | None = None
+        self._watches: WatchRace | None = None
         self._last_answer_at = float('-inf')
+        self._delays = _retry_delays()
 
     @property
     def last_answer_at(self) -> float:
@@ -114,21 +122,22 @@
         self._eras_begun += 1
         self._restored = True
         self._revision = 0
-        self.restart_watch()
+        if self._watches is not None:
+            self._watches.cancel()
 
     def restart_watch(self) -> None:
-        """Restarts the watch, for use after the store was unreachable.
+        """Starts another watch beside the present one.
 
-        A watch that was started before the outage may never be answered.
+        For use after the store was unreachable: a watch that was started
+        before that may never be answered.
         """
-        if self._watch_task is None or self._watch_task.done():
+        if self._watches is None:
             return
         log.info('store_watch_restarted', extra={'revision': self._revision})
-        self._watch_task.cancel()
+        self._watches.start_another()
 
     async def run(self) -> None:
         """Watches the store until cancelled."""
-        delays = backoff_delays(FIRST_RETRY_DELAY, MAX_RETRY_DELAY)
         while True:
             try:
                 await self._list_and_watch()
@@ -140,34 +149,35 @@
                 self._revision = 0
             except StoreDown as error:
                 self._record_lost(error)
-                await asyncio.sleep(next(delays))
+                await asyncio.sleep(next(self._delays))
 
     async def _list_and_watch(self) -> None:
         if not self._revision:
             await self._list()
-        task = asyncio.create_task(self._watch())
-        self._watch_task = task
+        watches = WatchRace(self._watch)
+        self._watches = watches
         try:
-            await asyncio.wait((task,), timeout=self._grace_left())
-        finally:
-            task.cancel()
-        if not task.done():
+            async with asyncio.timeout(self._grace_left()):
+                await watches.run()
+        except TimeoutError:
             # Keys that are still missing are reported by the next list.
             self._revision = 0
-        elif not task.cancelled():
-            task.result()
+        finally:
+            self._watches = None
+            watches.cancel()
 
     def _grace_left(self) -> float | None:
         if self._absent_until is None:
             return None
         return max(0, self._absent_until - boot_time())
 
-    async def _watch(self) -> None:
+    async def _watch(self, on_answer: Callable[[], None]) -> None:
         begun_at = boot_time()
         max_size = max(
             MIN_CHANGES_SIZE, MAX_CHANGES_RATIO * self._keys.content_size
         )
         async for events in self._store.watch('', self._revision, max_size):
+            on_answer()
             self._record_answer(begun_at)
             self._apply_events(events)
             # Changes in quick succession then arrive in one answer.
@@ -262,6 +272,12 @@
         if self._store_lost:
             log.warning('store_back', extra={'revision': self._revision})
         self._store_lost = False
+        self._delays = _retry_delays()
+
+
+def _retry_delays() -> Iterator[float]:
+    """Yields the delays in seconds after calls that fail in a row."""
+    return backoff_delays(FIRST_RETRY_DELAY, MAX_RETRY_DELAY)
 
 
 def _to_event(entry: Entry) -> Event:
--- a/packages/cowslipfork-direct/tests/test_rerouting.py
+++ b/packages/cowslipfork-direct/tests/test_rerouting.py
@@ -126,6 +126,9 @@
     def __init__(self, cuts):
         self.cuts = cuts
 
+    async def get(self, key):
+        raise StoreDown('get', 'no answer')
+
     async def watch(self, prefix, after, max_size=None):
         if self.cuts:
             self.cuts -= 1
--- a/packages/cowslipfork-direct/tests/test_store_watcher.py
+++ b/packages/cowslipfork-direct/tests/test_store_watcher.py
@@ -4,8 +4,10 @@
 from direct_fakes.world import run
 from virtual_time import run_virtual
 
-from cowslipfork.store import HistoryLost, Put
+from cowslipfork.store import HistoryLost, Put, StoreDown
 from cowslipfork.store.memory import Fault, MemoryStore
+from cowslipfork_direct.relay import Address
+from cowslipfork_direct.rerouting import ReroutedStore
 from cowslipfork_direct.store_watcher import (
     MAX_ANSWER_TIME,
     MIN_CHANGES_SIZE,
@@ -202,3 +204,57 @@
 
     recorder = watch_during(store, steps, 'a/')
     assert [content[:1] for _, content in recorder.contents] == [b'x', b'y']
+
+
+def test_an_answer_on_its_way_is_not_lost_to_a_restart():
+    """Guards against a long answer that is asked for again for ever."""
+    store = MemoryStore()
+    store.put('a/0', b'old')
+    watch = store.watch
+
+    async def slow_watch(prefix, after, max_size):
+        async for events in watch(prefix, after, max_size):
+            await asyncio.sleep(1)
+            yield events
+
+    store.watch = slow_watch
+
+    async def steps(recorder):
+        store.put('a/1', b'x')
+        for _ in range(6):
+            await asyncio.sleep(0.3)
+            recorder.store_watcher.restart_watch()
+        assert recorder.contents == [('a/0', b'old'), ('a/1', b'x')]
+
+    watch_during(store, steps, 'a/')
+
+
+def test_a_change_of_path_does_not_wait_for_a_silent_watch():
+    """Guards against waiting for a watch after other calls found it dead."""
+
+    class Silent(MemoryStore):
+        async def get(self, key):
+            raise StoreDown('get', 'no answer')
+
+        async def watch(self, prefix, after, max_size=None):
+            await asyncio.Event().wait()
+            yield []
+
+    async def main():
+        shared = MemoryStore()
+        events = []
+        rerouted = ReroutedStore(
+            lambda via: shared if via else Silent(),
+            lambda: [Address('n2', 1)],
+            lambda: watcher.restart_watch(),
+        )
+        watcher = StoreWatcher(rerouted, [Subscription('a/', events.extend)])
+        task = asyncio.create_task(watcher.run())
+        await asyncio.sleep(0.1)
+        shared.put('a/1', b'x')
+        await rerouted.get('b')
+        await asyncio.sleep(0.1)
+        task.cancel()
+        return [event.key for event in events]
+
+    assert run_virtual(main()) == ['a/1']
