A node that the store turns away finds a relay that works at once

Cause: a relay that does not reach the store itself accepts the connection, so that each such relay costs a time limit; after one the node went back to the direct path and used no relay for 2 s. Three relays took 9 s. Result: the new tests failed before (the second relay was not tried; the property did not exist) and pass; their mutants are caught.

--- a/packages/cowslipfork-direct/src/cowslipfork_direct/node.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/node.py
@@ -222,6 +222,11 @@
         """Metrics of this node."""
         return self._metrics
 
+    @property
+    def reaches_store(self) -> bool:
+        """Whether this node reaches the store without a relay."""
+        return self._store.reaches_store
+
     @property
     def callers(self) -> ConnectedCallers:
         """Callers that are connected to this node."""
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/rerouting.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/rerouting.py
@@ -35,6 +35,9 @@
 #: is then likely to be down for all nodes.
 RELAY_RETRY_INTERVAL: Final = 2.0
 
+#: Relays that are tried one after the other before the pause.
+MAX_RELAYS_IN_A_ROW: Final = 3
+
 #: Key that is read to check whether the store answers; it need not exist.
 PROBE_KEY: Final = 'cowslipfork/probe'
 
@@ -67,6 +70,8 @@
         self._relay: Address | None = None
         self._last_switch_or_probe: float = 0
         self._no_relay_until: float = 0
+        self._relays_failed = 0
+        self._direct_answered = False
         self._cut_before = False
         self._rotation = itertools.count()
         self._probe: asyncio.Future[None] = asyncio.Future()
@@ -77,6 +82,11 @@
         """Relay that is in use; None for the direct connection."""
         return self._relay
 
+    @property
+    def reaches_store(self) -> bool:
+        """Whether the last call on the direct connection was answered."""
+        return self._direct_answered
+
     async def get(self, key: str) -> Entry | None:
         """Reads one key; see ``Store``."""
         return await self._call(lambda store: store.get(key))
@@ -109,6 +119,7 @@
             changes = self._store(path).watch(prefix, after, max_size)
             async for batch in changes:
                 self._cut_before = False
+                self._record_answer(path)
                 yield batch
                 self._check_path(path)
         except (HistoryLost, EraEnded):
@@ -143,7 +154,7 @@
         self._probe_direct_if_due()
         path = self._relay
         try:
-            return await call(self._store(path))
+            return await self._call_on(path, call)
         except EraEnded:
             raise
         except (StoreUncertain, LeaseLost):
@@ -161,11 +172,26 @@
     ) -> _Result:
         path = self._relay
         try:
-            return await call(self._store(path))
+            return await self._call_on(path, call)
         except StoreDown:
             self._switch_path(path)
             raise
 
+    async def _call_on(
+        self,
+        path: Address | None,
+        call: Callable[[LeasingStore], Awaitable[_Result]],
+    ) -> _Result:
+        answer = await call(self._store(path))
+        self._record_answer(path)
+        return answer
+
+    def _record_answer(self, path: Address | None) -> None:
+        if path is None:
+            self._direct_answered = True
+        else:
+            self._relays_failed = 0
+
     def _record_cut(self, path: Address | None) -> None:
         """Switches to another path after two cuts without an answer."""
         if self._cut_before:
@@ -197,7 +223,7 @@
     async def _probe_direct(self) -> None:
         self._last_switch_or_probe = boot_time()
         try:
-            await self._direct.get(PROBE_KEY)
+            await self._call_on(None, lambda store: store.get(PROBE_KEY))
         except StoreDown as error:
             log.info('store_probe_failed', extra={'cause': str(error)})
         else:
@@ -205,16 +231,25 @@
 
     def _switch_path(self, failed: Address | None) -> None:
         """Switches to another path, unless another call has done so."""
+        if failed is None:
+            self._direct_answered = False
         if failed != self._relay:
             return
         if failed is not None:
-            self._no_relay_until = boot_time() + RELAY_RETRY_INTERVAL
-            self._use_path(None)
+            self._relays_failed += 1
+        relays = self._relays()
+        if self._relays_failed >= min(MAX_RELAYS_IN_A_ROW, len(relays)):
+            self._pause_relays()
         elif boot_time() >= self._no_relay_until:
-            relays = self._relays()
-            if relays:
-                self._use_path(relays[next(self._rotation) % len(relays)])
-                self._start_probe()
+            self._use_path(relays[next(self._rotation) % len(relays)])
+            self._start_probe()
+
+    def _pause_relays(self) -> None:
+        """Uses the direct connection, and no relay for some time."""
+        if self._relays_failed:
+            self._no_relay_until = boot_time() + RELAY_RETRY_INTERVAL
+        self._relays_failed = 0
+        self._use_path(None)
 
     def _use_path(self, path: Address | None) -> None:
         before = self._relay
--- a/packages/cowslipfork-direct/tests/test_rerouting.py
+++ b/packages/cowslipfork-direct/tests/test_rerouting.py
@@ -12,7 +12,11 @@
 )
 from cowslipfork.store.memory import MemoryStore
 from cowslipfork_direct.relay import Address
-from cowslipfork_direct.rerouting import DIRECT_RETRY_INTERVAL, ReroutedStore
+from cowslipfork_direct.rerouting import (
+    DIRECT_RETRY_INTERVAL,
+    MAX_RELAYS_IN_A_ROW,
+    ReroutedStore,
+)
 
 RELAY = Address('n2', 1)
 
@@ -120,6 +124,69 @@
     assert run(main()) == (RELAY, None)
 
 
+class ManyRelays:
+    """A store that one of several relays reaches."""
+
+    def __init__(self, relays):
+        self.shared = MemoryStore()
+        self.blocked = NodeStore(self.shared)
+        self.blocked.blocked = True
+        self.reached = NodeStore(self.shared)
+        self.tried = []
+        self.store = ReroutedStore(self._open, lambda: relays)
+
+    def _open(self, via):
+        self.tried.append(via)
+        return self.reached if via == RELAY else self.blocked
+
+
+def test_the_next_relay_is_tried_at_once_after_one_has_failed():
+    """Guards against news of the store that waits for seconds per relay."""
+
+    async def main():
+        others = [Address(f'n{number}', 1) for number in (3, 4)]
+        paths = ManyRelays([*others, RELAY])
+        with pytest.raises(StoreDown):
+            await paths.store.get('k')
+        await paths.store.get('k')
+        return paths.store.relay
+
+    assert run(main()) == RELAY
+
+
+def test_some_relays_are_tried_before_the_pause():
+    async def main():
+        others = [Address(f'n{number}', 1) for number in range(3, 9)]
+        paths = ManyRelays(others)
+        while len(paths.tried) < 2 or paths.store.relay is not None:
+            with pytest.raises(StoreDown):
+                await paths.store.get('k')
+        return paths.tried
+
+    assert len(run(main())) == 1 + MAX_RELAYS_IN_A_ROW
+
+
+def test_a_node_knows_whether_it_reaches_the_store_itself():
+    """Guards against a relay that leads nowhere."""
+
+    async def main():
+        paths = Paths()
+        reached = [paths.store.reaches_store]
+        await paths.store.get('k')
+        reached.append(paths.store.reaches_store)
+        paths.direct.blocked = True
+        await paths.store.get('k')
+        await paths.store.get('k')
+        reached.append(paths.store.reaches_store)
+        paths.direct.blocked = False
+        await asyncio.sleep(DIRECT_RETRY_INTERVAL + 0.1)
+        await paths.store.get('k')
+        await asyncio.sleep(0.1)
+        return [*reached, paths.store.reaches_store]
+
+    assert run(main()) == [False, True, False, True]
+
+
 class CutWatches:
     """A store that cuts the next watches before they are answered."""
 
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/direct_table.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/direct_table.py
@@ -389,8 +389,8 @@
     Mutant(
         'direct: the direct path is probed as soon as a relay is used',
         _DIRECT / 'rerouting.py',
-        '                self._start_probe()\n',
-        '',
+        'len(relays)])\n            self._start_probe()\n',
+        'len(relays)])\n',
         f'{_TESTS}/test_rerouting.py',
     ),
     Mutant(
@@ -407,4 +407,18 @@
         '            closed',
         f'{_PLATFORM_TESTS}/test_store.py',
     ),
+    Mutant(
+        'direct: the next relay is tried at once',
+        _DIRECT / 'rerouting.py',
+        'min(MAX_RELAYS_IN_A_ROW, len(relays))',
+        'min(1, len(relays))',
+        f'{_TESTS}/test_rerouting.py',
+    ),
+    Mutant(
+        'direct: a node knows that it does not reach the store',
+        _DIRECT / 'rerouting.py',
+        'self._direct_answered = False\n        if failed != self',
+        'pass\n        if failed != self',
+        f'{_TESTS}/test_rerouting.py',
+    ),
 )
