A record beside the configuration is not taken for it

What callers would see: a confirmed change that is never in force. Cause: the subscription goes by a prefix, and of the events of one answer only the last was used. A key that begins like the configuration's, in the same answer, replaced the change, which is not delivered again. Change: events of other keys are left out.

--- a/packages/cowslipfork-direct/src/cowslipfork_direct/subscriptions.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/subscriptions.py
@@ -56,7 +56,13 @@
     """
 
     def on_events(events: Sequence[Event]) -> None:
-        content = events[-1].content
+        # The prefix also matches keys that only begin like this one.
+        key = store_schema.configuration_key
+        contents = [event.content for event in events if event.key == key]
+        if contents:
+            apply(contents[-1])
+
+    def apply(content: bytes | None) -> None:
         if content is None:
             log.error('configuration_missing')
             return
