The store is listed after a watch was cut

Cause: a watch that begins after the cut and before the drop hears nothing until its wait of 2.5 s ends, and is then told that the history is gone. The detour through a relay, which the store's cut caused before, mostly came later than the drop and hid this. Change: after a cut the state itself is read, and the watch begins from there.

--- a/packages/cowslipfork-direct/src/cowslipfork_direct/store_watcher.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/store_watcher.py
@@ -22,6 +22,7 @@
     Store,
     StoreDown,
     TooManyChanges,
+    WatchCut,
     backoff_delays,
 )
 from cowslipfork_direct.clock import boot_time
@@ -148,6 +149,10 @@
                 _log_unread_changes(error)
                 self._revision = 0
             except StoreDown as error:
+                if isinstance(error, WatchCut):
+                    # The store may be about to drop its history, of which a
+                    # new watch would hear nothing.
+                    self._revision = 0
                 self._record_lost(error)
                 await asyncio.sleep(next(self._delays))
 
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/direct_table.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/direct_table.py
@@ -421,4 +421,11 @@
         'pass\n        if failed != self',
         f'{_TESTS}/test_rerouting.py',
     ),
+    Mutant(
+        'direct: the store is listed after a watch was cut',
+        _DIRECT / 'store_watcher.py',
+        'if isinstance(error, WatchCut):',
+        'if isinstance(error, EraEnded):',
+        f'{_TESTS}/test_store_watcher.py',
+    ),
 )
