Tests of a restored store stand in three modules

Change: test_store_era, test_restored_records, takeover/test_restored_takeovers; what callers write meanwhile is in direct_fakes.restore. No test, bound or seed is changed.

--- a/packages/cowslipfork-direct/tests/test_store_restore.py
+++ b/packages/cowslipfork-direct/tests/takeover/test_restored_takeovers.py
@@ -1,176 +1,36 @@
-"""The store returns from an older copy, and what this node had of it."""
+"""Takeovers around a return of the store from an older copy."""
 
 import asyncio
-import itertools
 
 import pytest
 from direct_fakes.history import History
-from direct_fakes.world import AGED, FRESH, World, run, statement, world
+from direct_fakes.restore import (
+    GAP,
+    GROUP,
+    LONGEST_WAIT,
+    now,
+    replace_primary,
+    write,
+    write_till,
+    write_until,
+)
+from direct_fakes.world import run, world
 
-from cowslipfork.ids import GroupName, Term
-from cowslipfork.outcomes import Done, NotRun
-from cowslipfork.store import EraEnded, Event, StoreEra
+from cowslipfork.ids import Term
+from cowslipfork.store import Event
 from cowslipfork_direct.era_settlement import SETTLE_TIME
-from cowslipfork_direct.fleet import alive_key, node_key
-from cowslipfork_direct.store_era import EraTracker
+from cowslipfork_direct.fleet import node_key
 from cowslipfork_direct.store_watcher import ABSENCE_GRACE
 from cowslipfork_direct.takeover.records import (
     ClaimId,
-    Suspicion,
     Takeover,
     TakeoverKind,
     TakeoverPhase,
     encode,
-    suspect_key,
     takeover_key,
 )
-from cowslipfork_direct.takeover.suspicion_reporter import SuspicionReporter
 from cowslipfork_direct.takeover.takeover_cache import TakeoverCache
 
-GROUP = GroupName('g')
-
-#: Seconds within which a group has a new primary in a settled era.
-GAP = 3
-
-#: Seconds after which a test gives up.
-LONGEST_WAIT = 20
-
-
-_numbers = itertools.count()
-
-
-def now():
-    return asyncio.get_running_loop().time()
-
-
-async def write(cluster, node='n1', text='WRITE x'):
-    session = await cluster.session(FRESH, node)
-    if isinstance(session, NotRun):
-        return session
-    outcome = await session.run(statement(text))
-    await session.close()
-    return outcome
-
-
-async def write_until(cluster, history, node, until):
-    """Writes through one node, 10 ms after each answer."""
-    while now() < until:
-        text = f'WRITE {node} {next(_numbers)}'
-        begun = now()
-        outcome = await write(cluster, node, text)
-        history.record_write(text, node, begun, now(), outcome)
-        await asyncio.sleep(0.01)
-
-
-async def write_till(cluster, condition):
-    """Writes through all nodes until a condition holds."""
-    async with asyncio.timeout(LONGEST_WAIT):
-        while not condition():
-            await asyncio.gather(
-                *(write(cluster, node) for node in cluster.nodes),
-                asyncio.sleep(0.01),
-            )
-
-
-async def replace_primary(cluster, name):
-    """Makes the primary unreachable for good until another one leads."""
-    terms = len(cluster.database.terms)
-    cluster.servers[name].blocked = True
-    await write_till(cluster, lambda: len(cluster.database.terms) > terms)
-    await asyncio.sleep(1)
-
-
-def tracker_at(era):
-    eras = EraTracker()
-    eras.check('get', None, StoreEra(era))
-    return eras
-
-
-def test_an_answer_of_the_present_era_is_accepted():
-    eras = tracker_at(3)
-    eras.check('get', StoreEra(3), StoreEra(3))
-    assert eras.current == 3
-    assert not eras.restored
-
-
-@pytest.mark.parametrize(('begun', 'answered'), [(3, 4), (3, 2), (2, 3)])
-def test_an_answer_across_eras_proves_nothing(begun, answered):
-    eras = tracker_at(3)
-    with pytest.raises(EraEnded):
-        eras.check('keep', StoreEra(begun), StoreEra(answered))
-
-
-def test_a_new_era_is_told_before_its_first_answer_is_refused():
-    eras = tracker_at(3)
-    told = []
-    eras.listen(lambda ended, era: told.append((ended, era)))
-    with pytest.raises(EraEnded):
-        eras.check('keep', StoreEra(3), StoreEra(4))
-    eras.check('keep', StoreEra(4), StoreEra(4))
-    assert told == [(3, 4)]
-
-
-def test_a_refusal_without_an_era_is_no_new_era():
-    eras = tracker_at(3)
-    eras.check('get', StoreEra(3), None)
-    assert eras.current == 3
-
-
-def test_a_configuration_that_is_written_again_is_taken():
-    async def main():
-        async with world(nodes=1) as cluster:
-            copy = cluster.store.copy()
-            for _ in range(20):
-                cluster.store.put('servers/unused', None)
-            cluster.configure(timeout=0.5)
-            await asyncio.sleep(1)
-            cluster.store.restore(copy)
-            await asyncio.sleep(1)
-            kept = cluster.nodes['n1']._view.table
-            cluster.configure(timeout=0.4)
-            await asyncio.sleep(1)
-            return kept, cluster.nodes['n1']._view.table
-
-    kept, taken = run(main())
-    assert kept.revision == 2
-    assert kept.routes[FRESH].timeout == 0.5
-    assert taken.revision == 3
-    assert taken.routes[FRESH].timeout == 0.4
-
-
-def test_a_lease_that_another_node_has_now_is_given_up():
-    async def main():
-        async with world(nodes=1) as cluster:
-            node = cluster.nodes['n1']
-            copy = cluster.store.copy()
-            copy.leases.clear()
-            cluster.store.restore(copy)
-            # The store gives the id of this node's lease to another one.
-            stolen = node._registration.lease
-            cluster.store._leases.add(stolen)
-            cluster.store._granted = stolen
-            await asyncio.sleep(1)
-            entry = await cluster.store.get(alive_key('n1'))
-            return stolen, node._registration.lease, entry
-
-    stolen, lease, entry = run(main())
-    assert lease is not None
-    assert lease != stolen
-    assert entry is not None
-
-
-def test_a_suspicion_is_written_with_a_lease_only():
-    async def main():
-        async with world(nodes=1) as cluster:
-            group = cluster.nodes['n1']._view.groups[GROUP]
-            reporter = SuspicionReporter(
-                'n1', group, None, cluster.store, lambda: None
-            )
-            await reporter._report(Suspicion('e1', Term(1)))
-            return await cluster.store.get(suspect_key(GROUP, 'n1'))
-
-    assert run(main()) is None
-
 
 def test_fences_rise_though_revisions_fall():
     async def main():
@@ -415,117 +275,3 @@
     assert listed is None
     assert len(cluster.database.terms) == 2
     assert history.find_violations() == []
-
-
-def test_a_node_that_starts_in_an_unsettled_era_serves_once_it_is_settled():
-    async def main():
-        cluster = World()
-        cluster.store.restore(cluster.store.copy())
-        cluster.start_node()
-        try:
-            await asyncio.sleep(SETTLE_TIME / 2)
-            early = await write(cluster)
-            await asyncio.sleep(SETTLE_TIME)
-            return early, await write(cluster)
-        finally:
-            await cluster.close()
-
-    early, late = run(main())
-    assert isinstance(early, NotRun)
-    assert isinstance(late, Done)
-
-
-def test_callers_are_served_through_a_restore():
-    async def main():
-        async with world(nodes=2) as cluster:
-            copy = cluster.store.copy()
-            history = History(cluster.database)
-            writing = asyncio.create_task(
-                write_until(cluster, history, 'n1', now() + 10)
-            )
-            await asyncio.sleep(1)
-            before = history.done
-            cluster.store.restore(copy)
-            await asyncio.sleep(1)
-            cluster.store.restore(copy)
-            await asyncio.sleep(SETTLE_TIME - 1)
-            during = history.done - before
-            await writing
-            return history, during
-
-    history, during = run(main())
-    assert history.find_violations() == []
-    assert during > 100
-
-
-def test_a_server_that_has_left_is_not_used_again():
-    async def main():
-        async with world(nodes=1) as cluster:
-            copy = cluster.store.copy()
-            await asyncio.sleep(0.2)
-            cluster.store.put('servers/e3', None)
-            await asyncio.sleep(0.2)
-            cluster.store.restore(copy)
-            await asyncio.sleep(ABSENCE_GRACE + 1)
-            group = cluster.nodes['n1']._view.groups[GROUP]
-            without = set(group.endpoints)
-            cluster.list_server(cluster.servers['e3'])
-            await asyncio.sleep(0.5)
-            return without, set(group.endpoints)
-
-    without, written_again = run(main())
-    assert without == {'e1', 'e2'}
-    assert written_again == {'e1', 'e2', 'e3'}
-
-
-def test_a_server_that_is_leaving_goes_on_leaving():
-    async def main():
-        async with world(nodes=1) as cluster:
-            copy = cluster.store.copy()
-            server = cluster.servers['e3']
-            server.leaving = True
-            cluster.list_server(server)
-            await asyncio.sleep(0.5)
-            cluster.store.restore(copy)
-            server.leaving = False
-            await asyncio.sleep(1)
-            group = cluster.nodes['n1']._view.groups[GROUP]
-            return group.endpoints['e3'].listed.leaving
-
-    assert run(main())
-
-
-def test_a_missing_server_is_gone_only_after_a_while():
-    async def main():
-        async with world(nodes=1) as cluster:
-            entry = await cluster.store.get('servers/e3')
-            cluster.store.put('servers/e3', None)
-            copy = cluster.store.copy()
-            cluster.store.put('servers/e3', entry.content)
-            await asyncio.sleep(0.2)
-            group = cluster.nodes['n1']._view.groups[GROUP]
-            cluster.store.restore(copy)
-            await asyncio.sleep(ABSENCE_GRACE - 0.5)
-            early = set(group.endpoints)
-            await asyncio.sleep(1.5)
-            return early, set(group.endpoints)
-
-    early, late = run(main())
-    assert early == {'e1', 'e2', 'e3'}
-    assert late == {'e1', 'e2'}
-
-
-def test_reads_of_a_stated_age_go_on():
-    async def main():
-        async with world(nodes=1) as cluster:
-            copy = cluster.store.copy()
-            session = await cluster.session(AGED)
-            outcomes = []
-            for step in range(60):
-                if step == 10:
-                    cluster.store.restore(copy)
-                outcomes.append(await session.run(statement('READ all')))
-                await asyncio.sleep(0.05)
-            return outcomes
-
-    assert all(isinstance(outcome, Done) for outcome in run(main()))
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/direct_table.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/direct_table.py
@@ -17,7 +17,10 @@
 _TAKEOVER: Final = f'{_TESTS}/takeover'
 _SESSION: Final = f'{_TESTS}/test_session.py'
 _WORKSPACES: Final = f'{_TESTS}/test_workspaces.py'
-_RESTORE: Final = f'{_TESTS}/test_store_restore.py'
+_RESTORE: Final = (
+    f'{_TESTS}/test_store_era.py {_TESTS}/test_restored_records.py '
+    f'{_TAKEOVER}/test_restored_takeovers.py'
+)
 _CARRIERS: Final = f'{_TESTS}/test_carriers.py'
 _FORWARDING: Final = f'{_TESTS}/forwarding'
 
