--- a/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/direct_table.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/direct_table.py
@@ -16,7 +16,9 @@
 _MECHANISMS: Final = f'{_TESTS}/test_mechanisms.py'
 _TAKEOVER: Final = f'{_TESTS}/takeover'
 _SESSION: Final = f'{_TESTS}/test_session.py'
-_WORKSPACES: Final = f'{_TESTS}/test_workspaces.py'
+_WORKSPACES: Final = (
+    f'{_TESTS}/test_workspaces.py {_TESTS}/test_withdrawn_keys.py'
+)
 _RESTORE: Final = (
     f'{_TESTS}/test_store_era.py {_TESTS}/test_restored_records.py '
     f'{_TAKEOVER}/test_restored_takeovers.py'
