A path that has answered since is not left for a dead connection

Cause: the old watch, given up on at 3.2 s, counted as a failure of the direct path, which had answered a probe and renewals since. The node went to a relay and back, with a new watch each time, and three watches shared its link. Change: a call that fails changes the path only if the path has answered no other call since it began. Result: the new test failed without the change (its mutant is caught).

--- a/packages/cowslipfork-direct/src/cowslipfork_direct/rerouting.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/rerouting.py
@@ -72,6 +72,7 @@
         self._no_relay_until: float = 0
         self._relays_failed = 0
         self._direct_answered = False
+        self._last_answers: dict[Address | None, float] = {}
         self._cut_before = False
         self._rotation = itertools.count()
         self._probe: asyncio.Future[None] = asyncio.Future()
@@ -115,20 +116,22 @@
         unless that is cut before its first answer as well.
         """
         path = self._relay
+        begun_at = boot_time()
         try:
             changes = self._store(path).watch(prefix, after, max_size)
             async for batch in changes:
                 self._cut_before = False
                 self._record_answer(path)
                 yield batch
+                begun_at = boot_time()
                 self._check_path(path)
         except (HistoryLost, EraEnded):
             raise
         except WatchCut:
-            self._record_cut(path)
+            self._record_cut(path, begun_at)
             raise
         except StoreDown:
-            self._switch_path(path)
+            self._record_failure(path, begun_at)
             raise
 
     async def grant(self, ttl: float) -> LeaseId:
@@ -153,15 +156,16 @@
         """
         self._probe_direct_if_due()
         path = self._relay
+        begun_at = boot_time()
         try:
             return await self._call_on(path, call)
         except EraEnded:
             raise
         except (StoreUncertain, LeaseLost):
-            self._switch_path(path)
+            self._record_failure(path, begun_at)
             raise
         except StoreDown:
-            self._switch_path(path)
+            self._record_failure(path, begun_at)
             if self._relay == path:
                 raise
         return await self._call_again(call)
@@ -171,10 +175,11 @@
         call: Callable[[LeasingStore], Awaitable[_Result]],
     ) -> _Result:
         path = self._relay
+        begun_at = boot_time()
         try:
             return await self._call_on(path, call)
         except StoreDown:
-            self._switch_path(path)
+            self._record_failure(path, begun_at)
             raise
 
     async def _call_on(
@@ -187,15 +192,27 @@
         return answer
 
     def _record_answer(self, path: Address | None) -> None:
+        self._last_answers[path] = boot_time()
         if path is None:
             self._direct_answered = True
         else:
             self._relays_failed = 0
 
-    def _record_cut(self, path: Address | None) -> None:
+    def _record_failure(self, path: Address | None, begun_at: float) -> None:
+        """Switches to another path unless this one is known to work.
+
+        Args:
+            path: path of the call that failed.
+            begun_at: boot time at which it began. If the path has answered
+                another call since, only the call's connection is dead.
+        """
+        if self._last_answers.get(path, float('-inf')) <= begun_at:
+            self._switch_path(path)
+
+    def _record_cut(self, path: Address | None, begun_at: float) -> None:
         """Switches to another path after two cuts without an answer."""
         if self._cut_before:
-            self._switch_path(path)
+            self._record_failure(path, begun_at)
         self._cut_before = not self._cut_before
 
     def _store(self, path: Address | None) -> LeasingStore:
--- a/packages/cowslipfork-direct/tests/test_rerouting.py
+++ b/packages/cowslipfork-direct/tests/test_rerouting.py
@@ -187,6 +187,41 @@
     assert run(main()) == [False, True, False, True]
 
 
+class OneSilentWatch:
+    """A store that answers all calls but a watch, which it leaves for long."""
+
+    async def get(self, key):
+        return None
+
+    async def watch(self, prefix, after, max_size=None):
+        await asyncio.sleep(3)
+        raise StoreDown('watch', 'no answer')
+        yield []
+
+
+@pytest.mark.parametrize(('called', 'switched'), [(True, 0), (False, 2)])
+def test_a_dead_connection_does_not_change_a_path_that_works(called, switched):
+    """Guards against a detour after the path was found to work again."""
+
+    async def main():
+        switches = []
+        store = ReroutedStore(
+            lambda via: OneSilentWatch(),
+            lambda: [RELAY],
+            lambda: switches.append(store.relay),
+        )
+        watch = asyncio.create_task(anext(store.watch('', 0)))
+        await asyncio.sleep(1)
+        if called:
+            await store.get('k')
+        with pytest.raises(StoreDown):
+            await watch
+        await asyncio.sleep(0.1)
+        return len(switches)
+
+    assert run(main()) == switched
+
+
 class CutWatches:
     """A store that cuts the next watches before they are answered."""
 
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/direct_table.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/direct_table.py
@@ -433,4 +433,11 @@
         'if isinstance(error, EraEnded):',
         f'{_TESTS}/test_store_watcher.py',
     ),
+    Mutant(
+        'direct: a path that has answered since is not left',
+        _DIRECT / 'rerouting.py',
+        "if self._last_answers.get(path, float('-inf')) <= begun_at:",
+        "if begun_at >= float('-inf'):",
+        f'{_TESTS}/test_rerouting.py',
+    ),
 )
