The HTTP client stands in the product

The client knows no word of the platform. Change: cowslipfork_direct.http_client and http_connection, one module each; the code is moved, with public names and docstrings where it was private.

--- /dev/null
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/http_connection.py
@@ -0,0 +1,174 @@
+"""A connection that carries one HTTP/1.1 request at a time."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from typing import Final
+
+import h11
+
+from cowslipfork.errors import CowslipforkError
+
+#: Most bytes read from a socket at a time.
+_READ_SIZE: Final = 65_536
+
+
+@dataclass(frozen=True, slots=True)
+class HttpReply:
+    """A complete response.
+
+    Attributes:
+        status: status code.
+        body: complete body.
+        headers: headers by name in lower case.
+    """
+
+    status: int
+    body: bytes
+    headers: Mapping[str, str]
+
+
+class ResponseTooLong(CowslipforkError):
+    """A response exceeds its limit; says how long it is, or by now."""
+
+
+@dataclass(frozen=True, slots=True)
+class HttpRequest:
+    """A request.
+
+    Attributes:
+        method: HTTP method.
+        path: path and query.
+        body: its body; empty for none.
+        headers: additional headers.
+    """
+
+    method: str
+    path: str
+    body: bytes
+    headers: tuple[tuple[str, str], ...]
+
+
+class HttpConnection:
+    """A connection and the state of its HTTP/1.1 exchange."""
+
+    def __init__(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        host: str,
+    ) -> None:
+        """Wraps an open connection.
+
+        Args:
+            reader: reading end of the connection.
+            writer: writing end.
+            host: address of the server, for the requests' headers.
+        """
+        self._reader = reader
+        self._writer = writer
+        self._host = host
+        self._state = h11.Connection(h11.CLIENT)
+        self._received = 0
+        self._max_size: int | None = None
+
+    @property
+    def received(self) -> int:
+        """Bytes received of the last response."""
+        return self._received
+
+    @property
+    def usable(self) -> bool:
+        """Whether another request can be sent on this connection."""
+        return (
+            self._state.our_state is h11.IDLE
+            and not self._reader.at_eof()
+            and not self._writer.is_closing()
+        )
+
+    def close(self) -> None:
+        """Closes once all bytes are sent."""
+        self._writer.close()
+
+    def abort(self) -> None:
+        """Closes at once and discards bytes that are not sent yet."""
+        self._writer.transport.abort()
+
+    async def exchange(
+        self,
+        request: HttpRequest,
+        max_size: int | None,
+        on_received: Callable[[], None],
+    ) -> HttpReply:
+        """Sends a request and reads its response.
+
+        Args:
+            request: the request.
+            max_size: most bytes to read; None for no limit.
+            on_received: called whenever a part of the response has arrived.
+
+        Raises:
+            ResponseTooLong: the response is longer than ``max_size``.
+        """
+        head = h11.Request(
+            method=request.method,
+            target=request.path,
+            headers=[
+                ('Host', self._host),
+                ('Content-Type', 'application/json'),
+                ('Content-Length', str(len(request.body))),
+                *request.headers,
+            ],
+        )
+        events = (head, h11.Data(data=request.body), h11.EndOfMessage())
+        self._received = 0
+        self._writer.write(
+            b''.join(self._state.send(event) or b'' for event in events),
+        )
+        self._max_size = max_size
+        reply = await self._read_response(on_received)
+        if self._state.our_state is h11.DONE:
+            self._state.start_next_cycle()
+        return reply
+
+    async def _read_response(
+        self, on_received: Callable[[], None]
+    ) -> HttpReply:
+        status = 0
+        headers: dict[str, str] = {}
+        parts: list[bytes] = []
+        event = await self._next_event(on_received)
+        while not isinstance(event, h11.EndOfMessage):
+            if isinstance(event, h11.Response):
+                status = event.status_code
+                headers = {
+                    name.decode(): text.decode('latin-1')
+                    for name, text in event.headers
+                }
+                length = headers.get('content-length', '')
+                self._ensure_short(int(length) if length.isdecimal() else 0)
+            elif isinstance(event, h11.Data):
+                parts.append(bytes(event.data))
+            else:
+                raise h11.RemoteProtocolError(
+                    'connection closed before the end of the response'
+                )
+            event = await self._next_event(on_received)
+        return HttpReply(status, b''.join(parts), headers)
+
+    async def _next_event(self, on_received: Callable[[], None]) -> object:
+        event = self._state.next_event()
+        while event is h11.NEED_DATA:
+            chunk = await self._reader.read(_READ_SIZE)
+            self._received += len(chunk)
+            self._ensure_short(self._received)
+            on_received()
+            self._state.receive_data(chunk)
+            event = self._state.next_event()
+        return event
+
+    def _ensure_short(self, size: int) -> None:
+        if self._max_size is not None and size > self._max_size:
+            raise ResponseTooLong(f'{size} bytes, {self._max_size} allowed')
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/direct_table.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/direct_table.py
@@ -10,7 +10,6 @@
 _DIRECT: Final = PurePosixPath(
     'packages/cowslipfork-direct/src/cowslipfork_direct'
 )
-_PLATFORM: Final = PurePosixPath('platform/src/cowslipfork_platform')
 _TESTS: Final = 'packages/cowslipfork-direct/tests'
 _PLATFORM_TESTS: Final = '-c platform/pyproject.toml platform/tests'
 _MECHANISMS: Final = f'{_TESTS}/test_mechanisms.py'
@@ -371,8 +370,8 @@
         f'{_TESTS}/test_store_watcher.py',
     ),
     Mutant(
-        'platform: an answer that keeps arriving is not given up',
-        _PLATFORM / '_http.py',
+        'direct: an answer that keeps arriving is not given up',
+        _DIRECT / 'http_client.py',
         'lambda: stall.reschedule(clock() + limits.progress),',
         'lambda: None,',
         f'{_PLATFORM_TESTS}/test_store.py',
@@ -406,8 +405,8 @@
         f'{_TESTS}/test_rerouting.py',
     ),
     Mutant(
-        'platform: no idle connection is used after a silent one',
-        _PLATFORM / '_http.py',
+        'direct: no idle connection is used after a silent one',
+        _DIRECT / 'http_client.py',
         '            self.close()\n            closed',
         '            closed',
         f'{_PLATFORM_TESTS}/test_store.py',
