--- a/packages/cowslipfork-direct/src/cowslipfork_direct/node.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/node.py
@@ -222,11 +222,6 @@
         """Metrics of this node."""
         return self._metrics
 
-    @property
-    def reaches_store(self) -> bool:
-        """Whether this node reaches the store without a relay."""
-        return self._store.reaches_store
-
     @property
     def callers(self) -> ConnectedCallers:
         """Callers that are connected to this node."""
@@ -325,8 +320,17 @@
         await self._carrier_service.drain(until)
         await self._registration.deregister()
 
-    def endpoint_addresses(self) -> frozenset[Address]:
-        """Returns the addresses of all listed endpoints."""
+    def relayed_addresses(self, store: Address) -> frozenset[Address]:
+        """Returns the addresses to which this node relays now.
+
+        Args:
+            store: address of the store, which this node relays to while it
+                reaches the store itself.
+        """
+        addresses = self._endpoint_addresses()
+        return addresses | {store} if self._store.reaches_store else addresses
+
+    def _endpoint_addresses(self) -> frozenset[Address]:
         endpoints = itertools.chain.from_iterable(
             group.endpoints.values() for group in self._view.groups.values()
         )
--- a/packages/cowslipfork-direct/tests/test_rerouting.py
+++ b/packages/cowslipfork-direct/tests/test_rerouting.py
@@ -1,7 +1,7 @@
 import asyncio
 
 import pytest
-from direct_fakes.world import NodeStore, run
+from direct_fakes.world import NodeStore, run, world
 
 from cowslipfork.store import (
     Compare,
@@ -258,3 +258,24 @@
         return store.relay
 
     assert run(main()) == relay
+
+
+def test_a_node_relays_to_the_store_only_while_it_reaches_it():
+    """Guards against a relay that costs others a time limit."""
+    store = Address('store', 1)
+
+    async def main():
+        async with world(nodes=2) as made:
+            node = made.nodes['n1']
+            endpoints = len(made.servers)
+            relayed = [node.relayed_addresses(store)]
+            made.stores['n1'].blocked = True
+            await asyncio.sleep(3)
+            relayed.append(node.relayed_addresses(store))
+            made.stores['n1'].blocked = False
+            await asyncio.sleep(5)
+            relayed.append(node.relayed_addresses(store))
+            assert [len(one - {store}) for one in relayed] == [endpoints] * 3
+            return [store in one for one in relayed]
+
+    assert run(main()) == [True, False, True]
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/direct_table.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/direct_table.py
@@ -439,4 +439,11 @@
         "if begun_at >= float('-inf'):",
         f'{_TESTS}/test_rerouting.py',
     ),
+    Mutant(
+        'direct: a node relays to the store only while it reaches it',
+        _DIRECT / 'node.py',
+        'if self._store.reaches_store else addresses',
+        'if store else addresses',
+        f'{_TESTS}/test_rerouting.py',
+    ),
 )
