A second watch is called what it is

Cause: restart_watch and store_watch_restarted told of a restart; since the watch race the running watch goes on.

--- a/packages/cowslipfork-direct/src/cowslipfork_direct/node.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/node.py
@@ -103,7 +103,7 @@
         self._store = ReroutedStore(
             adapters.store,
             self._relays,
-            lambda: self._store_watcher.restart_watch(),
+            lambda: self._store_watcher.start_another_watch(),
         )
         self._metrics = Metrics()
         self._view = View(
@@ -151,7 +151,7 @@
             RegistrationHooks(
                 self._load_takeovers,
                 self._extend_leader_leases,
-                lambda: self._store_watcher.restart_watch(),
+                lambda: self._store_watcher.start_another_watch(),
             ),
             NodeTraits(identity.failure_domain, identity.capacity),
         )
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/store_watcher.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/store_watcher.py
@@ -126,7 +126,7 @@
         if self._watches is not None:
             self._watches.cancel()
 
-    def restart_watch(self) -> None:
+    def start_another_watch(self) -> None:
         """Starts another watch beside the present one.
 
         For use after the store was unreachable: a watch that was started
@@ -134,7 +134,7 @@
         """
         if self._watches is None:
             return
-        log.info('store_watch_restarted', extra={'revision': self._revision})
+        log.info('store_watch_added', extra={'revision': self._revision})
         self._watches.start_another()
 
     async def run(self) -> None:
--- a/packages/cowslipfork-direct/tests/test_store_watcher.py
+++ b/packages/cowslipfork-direct/tests/test_store_watcher.py
@@ -82,7 +82,7 @@
         lost_histories.append(True)
         store.put('a/1', None)
         store.put('a/2', b'new')
-        recorder.store_watcher.restart_watch()
+        recorder.store_watcher.start_another_watch()
 
     recorder = watch_during(store, steps, 'a/')
     assert sorted(recorder.contents[1:]) == [('a/1', None), ('a/2', b'new')]
@@ -106,7 +106,7 @@
     async def steps(recorder):
         store.put('a/1', b'x')
         await asyncio.sleep(0.1)
-        recorder.store_watcher.restart_watch()
+        recorder.store_watcher.start_another_watch()
         await asyncio.sleep(0.1)
         store.put('a/2', b'y')
 
@@ -223,7 +223,7 @@
         store.put('a/1', b'x')
         for _ in range(6):
             await asyncio.sleep(0.3)
-            recorder.store_watcher.restart_watch()
+            recorder.store_watcher.start_another_watch()
         assert recorder.contents == [('a/0', b'old'), ('a/1', b'x')]
 
     watch_during(store, steps, 'a/')
@@ -246,7 +246,7 @@
         rerouted = ReroutedStore(
             lambda via: shared if via else Silent(),
             lambda: [Address('n2', 1)],
-            lambda: watcher.restart_watch(),
+            lambda: watcher.start_another_watch(),
         )
         watcher = StoreWatcher(rerouted, [Subscription('a/', events.extend)])
         task = asyncio.create_task(watcher.run())
