--- a/packages/cowslipfork-direct/src/cowslipfork_direct/store_watcher.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/store_watcher.py
@@ -150,8 +150,8 @@
                 self._revision = 0
             except StoreDown as error:
                 if isinstance(error, WatchCut):
-                    # The store may be about to drop its history, of which a
-                    # new watch would hear nothing.
+                    # The store may be about to compact its history; a watch
+                    # begun before that may deliver nothing until it times out.
                     self._revision = 0
                 self._record_lost(error)
                 await asyncio.sleep(next(self._delays))
--- a/packages/cowslipfork-direct/tests/test_store_watcher.py
+++ b/packages/cowslipfork-direct/tests/test_store_watcher.py
@@ -261,7 +261,7 @@
 
 
 def test_changes_around_a_cut_do_not_wait_for_the_next_watch():
-    """Guards against a watch that hears nothing of a history being dropped."""
+    """Guards against a watch that is begun just before a compaction."""
     store = MemoryStore()
     store.put('a/1', b'old')
     cuts = [True]
