A restarted promoter loses no confirmed write

Cause: a resumed takeover took its old primary and its term from what this process had seen, not from the record; and a takeover whose order had already taken effect was claimed anew instead of recorded. Change: the node that finds the candidate of its own ordered takeover leading records it as done (other nodes after the claim has expired); an order of an earlier process is waited for as long as another node's; old primary and lowest term come from the record where nothing newer is known.

--- a/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/claims.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/claims.py
@@ -30,7 +30,10 @@
     encode,
     takeover_key,
 )
-from cowslipfork_direct.takeover.takeover_cache import TakeoverCache
+from cowslipfork_direct.takeover.takeover_cache import (
+    CachedTakeover,
+    TakeoverCache,
+)
 
 log = logging.getLogger(__name__)
 
@@ -187,6 +190,17 @@
         fence = fence or self._fence(revision)
         return Claim(takeover, revision, fence, begun)
 
+    async def record_effect(self, cached: CachedTakeover, term: Term) -> None:
+        """Records that the candidate of an ordered takeover is primary.
+
+        Args:
+            cached: the takeover, perhaps claimed by another node or by an
+                earlier process of this one.
+            term: the term that the candidate leads.
+        """
+        claim = Claim(cached.takeover, cached.revision, 0, boot_time())
+        await self.advance(claim, TakeoverPhase.DONE, term=term)
+
     async def write_lost(self) -> None:
         """Writes takeovers again of which the store has lost the record.
 
@@ -325,4 +339,5 @@
         led = max(observed_term, last.term)
         return led, led
     unobserved = int(last.phase is TakeoverPhase.ORDERED)
-    return observed_term, max(observed_term, Term(last.ceiling + unobserved))
+    led = max(observed_term, Term(last.term - 1))
+    return led, max(led, Term(last.ceiling + unobserved))
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/primary_supervisor.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/primary_supervisor.py
@@ -7,7 +7,7 @@
 import math
 from typing import Final
 
-from cowslipfork.ids import VmId
+from cowslipfork.ids import EndpointId, VmId
 from cowslipfork.weights import rendezvous_weight
 from cowslipfork_direct.clock import boot_time
 from cowslipfork_direct.endpoint_monitor import EndpointMonitor
@@ -15,6 +15,7 @@
 from cowslipfork_direct.takeover.claims import Claim
 from cowslipfork_direct.takeover.promoter import Promoter
 from cowslipfork_direct.takeover.records import (
+    ClaimId,
     Suspicion,
     Takeover,
     TakeoverKind,
@@ -71,6 +72,7 @@
         self._endpoint_monitor = endpoint_monitor
         self._suspicion_reporter = suspicion_reporter
         self._last_takeover_at = -math.inf
+        self._ended_claim: ClaimId | None = None
 
     @property
     def _supervisors(self) -> frozenset[VmId]:
@@ -84,6 +86,11 @@
                 self._group.change_event,
                 self._context.takeover_cache.change_event,
             )
+            unrecorded = self._unrecorded_takeover()
+            if unrecorded is not None:
+                await self._record_effect(unrecorded)
+                await wait_for_any(*change_events, timeout=POLL_INTERVAL)
+                continue
             kind = self.needed_takeover()
             if kind is None:
                 await wait_for_any(*change_events, timeout=POLL_INTERVAL)
@@ -122,8 +129,44 @@
         return listed.leaving and self._has_candidate()
 
     def _may_resume(self, cached: CachedTakeover) -> bool:
+        """Returns whether nobody carries a takeover out any more.
+
+        If an earlier process of this node has ordered a promotion, the
+        candidate may still become primary.
+        """
+        takeover = cached.takeover
+        if takeover.claim == self._ended_claim:
+            return True
+        own = takeover.claimer == self._context.node
+        if own and takeover.phase is TakeoverPhase.CLAIMED:
+            return True
+        return boot_time() - cached.seen_at > CLAIM_EXPIRY
+
+    def _unrecorded_takeover(self) -> CachedTakeover | None:
+        """Returns an ordered takeover whose candidate is primary, if any.
+
+        Its promoter has ended, or could not write, before it recorded that.
+        """
+        cached = self._context.takeover_cache.takeover(self._group.name)
+        if (
+            cached is None
+            or cached.takeover.phase is not TakeoverPhase.ORDERED
+            or not self._context.settlement.settled
+            or self._context.node not in self._supervisors
+        ):
+            return None
         own = cached.takeover.claimer == self._context.node
-        return own or boot_time() - cached.seen_at > CLAIM_EXPIRY
+        candidate = cached.takeover.candidate
+        if candidate is None or not self._group.leads(candidate):
+            return None
+        return cached if own or self._may_resume(cached) else None
+
+    async def _record_effect(self, cached: CachedTakeover) -> None:
+        """Records the takeover as done, unless another node is about to."""
+        await asyncio.sleep(CLAIM_DELAY_PER_RANK * self._rank())
+        leader = self._group.leader
+        if leader is not None and self._unrecorded_takeover() is cached:
+            await self._context.claims.record_effect(cached, leader.term)
 
     def _has_quorum(self, suspicion: Suspicion) -> bool:
         """Returns whether enough live nodes share a suspicion.
@@ -174,24 +217,29 @@
 
     async def _take_over(self, kind: TakeoverKind) -> None:
         group = self._group
-        last = group.last_leader
         claim = await self._context.claims.claim(
-            group.name,
-            kind,
-            last.endpoint if last else None,
-            group.highest_term,
+            group.name, kind, self._old_primary(), group.highest_term
         )
         if claim is None:
             await asyncio.sleep(CLAIM_DELAY_PER_RANK)
         else:
             await self._carry_out(claim)
 
+    def _old_primary(self) -> EndpointId | None:
+        """Returns the last primary, which a new process may not have seen."""
+        last = self._group.last_leader
+        if last is not None:
+            return last.endpoint
+        cached = self._context.takeover_cache.takeover(self._group.name)
+        return cached.takeover.old if cached else None
+
     async def _carry_out(self, claim: Claim) -> None:
         begun = boot_time()
         self._context.metrics.count_takeover_step('claimed')
         await Promoter(
             self._context, self._group, self._endpoint_monitor, claim
         ).run()
+        self._ended_claim = claim.takeover.claim
         log.warning(
             'takeover_ended',
             extra={
--- a/packages/cowslipfork-direct/tests/fakes/direct_fakes/servers.py
+++ b/packages/cowslipfork-direct/tests/fakes/direct_fakes/servers.py
@@ -69,7 +69,7 @@
     #: Whether it is unreachable: requests to it are never answered.
     blocked: bool = False
     #: Cleared while it accepts connections and answers nothing on them.
-    awake: asyncio.Event = field(default_factory=lambda: _set_event())
+    awake: asyncio.Event = field(default_factory=lambda: set_event())
     #: Whether it drops the commits of its primary.
     replication_blocked: bool = False
     #: Seconds between receiving and applying a commit.
@@ -130,7 +130,7 @@
         )
 
 
-def _set_event():
+def set_event():
     event = asyncio.Event()
     event.set()
     return event
--- a/packages/cowslipfork-direct/tests/fakes/direct_fakes/world.py
+++ b/packages/cowslipfork-direct/tests/fakes/direct_fakes/world.py
@@ -37,7 +37,7 @@
 from cowslipfork_direct.subscriptions import StoreSchema
 from cowslipfork_direct.workspaces import Revocation, digest_of
 from direct_fakes.peer_streams import StreamNetwork
-from direct_fakes.servers import ONE_WAY, Database, FakeLink
+from direct_fakes.servers import ONE_WAY, Database, FakeLink, set_event
 
 FRESH = DatabaseName('fresh')
 AGED = DatabaseName('aged')
@@ -96,6 +96,8 @@
         self.blocked = False
         #: Number of writes whose answers will be lost after they took effect.
         self.lose_answers = 0
+        #: Cleared while watches of this node are not answered; calls are.
+        self.hears_news = set_event()
 
     def through_relay(self, world, node, via):
         """Returns this store, or the one of the relaying node."""
@@ -127,6 +129,7 @@
             while self.blocked:
                 await asyncio.sleep(0.1)
                 raise StoreDown('watch', 'no answer')
+            await self.hears_news.wait()
             self.eras.check('watch', begun, self._shared.era)
             yield events
 
--- a/packages/cowslipfork-direct/tests/takeover/test_claims.py
+++ b/packages/cowslipfork-direct/tests/takeover/test_claims.py
@@ -82,6 +82,8 @@
         (record(TakeoverPhase.CLAIMED, ceiling=2), 3, 2),
         (record(TakeoverPhase.ORDERED, ceiling=2), 3, 3),
         (record(TakeoverPhase.ORDERED, ceiling=6), 3, 7),
+        (record(TakeoverPhase.CLAIMED, term=5, ceiling=4), 5, 4),
+        (record(TakeoverPhase.ORDERED, term=5, ceiling=4), 5, 5),
     ],
 )
 def test_a_claim_rejects_terms_that_earlier_orders_may_have_created(
--- /dev/null
+++ b/packages/cowslipfork-direct/tests/takeover/test_lost_writes.py
@@ -0,0 +1,91 @@
+"""Confirmed writes are kept when a primary that works is replaced."""
+
+import asyncio
+import json
+
+import pytest
+from direct_fakes.world import FRESH, run, statement, world
+
+from cowslipfork.outcomes import Done
+
+
+async def confirmed_writes(cluster, node, seconds, interval=0.01):
+    """Writes through a node and returns the texts that it confirmed."""
+    loop = asyncio.get_running_loop()
+    end = loop.time() + seconds
+    session = await cluster.session(FRESH, node)
+    confirmed = []
+    while loop.time() < end:
+        text = f'WRITE {node} {loop.time()}'
+        if isinstance(await session.run(statement(text)), Done):
+            confirmed.append(text)
+        await asyncio.sleep(interval)
+    return confirmed
+
+
+def lost_writes(cluster, confirmed):
+    kept = {
+        text
+        for commit in cluster.database.primary.log
+        for text in commit.writes
+    }
+    return [text for text in confirmed if text not in kept]
+
+
+@pytest.mark.parametrize('down', [0.05, 0.5, 2.5])
+def test_a_restarted_promoter_replaces_no_primary_again(down):
+    async def main():
+        async with world(nodes=3) as cluster:
+            server = cluster.servers['e1']
+            server.leaving = True
+            cluster.list_server(server)
+            await asyncio.sleep(0.2)
+            assert len(cluster.orders) == 1
+            confirmed = await writes_around_restart(cluster, down)
+            return cluster, confirmed
+
+    cluster, confirmed = run(main())
+    assert len(confirmed) > 100
+    assert lost_writes(cluster, confirmed) == []
+    assert len(cluster.orders) == 1
+
+
+@pytest.mark.parametrize('down', [0.05, 0.5, 2.5])
+def test_a_restarted_promoter_demotes_the_primary_that_it_claimed_from(down):
+    async def main():
+        async with world(nodes=3) as cluster:
+            server = cluster.servers['e1']
+            for store in cluster.stores.values():
+                store.hears_news.clear()
+            server.leaving = True
+            cluster.stores['n1'].hears_news.set()
+            cluster.list_server(server)
+            await asyncio.sleep(0.3)
+            assert cluster.orders == []
+            return cluster, await writes_around_restart(cluster, down)
+
+    cluster, confirmed = run(main())
+    assert cluster.database.primary.name != 'e1'
+    assert lost_writes(cluster, confirmed) == []
+
+
+async def writes_around_restart(cluster, down):
+    """Restarts the promoter while the others write and one hears no news."""
+    promoter = await duty_holder(cluster)
+    others = [node for node in cluster.nodes if node != promoter]
+    writers = [
+        asyncio.create_task(confirmed_writes(cluster, node, 6))
+        for node in others
+    ]
+    cluster.stores[others[0]].hears_news.clear()
+    await cluster.kill_node(promoter)
+    await asyncio.sleep(down)
+    cluster.start_node(promoter)
+    await asyncio.sleep(2)
+    cluster.stores[others[0]].hears_news.set()
+    return sum(await asyncio.gather(*writers), [])
+
+
+async def duty_holder(cluster):
+    entry = await cluster.store.get('cowslipfork/duty')
+    return json.loads(entry.content)['holder']
--- /dev/null
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/takeover_table.py
@@ -0,0 +1,38 @@
+"""Mutants of takeovers from a primary that still works."""
+
+from __future__ import annotations
+
+from pathlib import PurePosixPath
+from typing import Final
+
+from cowslipfork_lab.mutants.mutant import Mutant
+
+_TAKEOVER: Final = PurePosixPath(
+    'packages/cowslipfork-direct/src/cowslipfork_direct/takeover'
+)
+_TESTS: Final = 'packages/cowslipfork-direct/tests/takeover'
+_LOST_WRITES: Final = f'{_TESTS}/test_lost_writes.py'
+
+TAKEOVER_MUTANTS: Final = (
+    Mutant(
+        'direct: an order of an earlier process may still take effect',
+        _TAKEOVER / 'primary_supervisor.py',
+        'if own and takeover.phase is TakeoverPhase.CLAIMED:',
+        'if own:',
+        _LOST_WRITES,
+    ),
+    Mutant(
+        'direct: the primary of a resumed takeover is read from its record',
+        _TAKEOVER / 'primary_supervisor.py',
+        'return cached.takeover.old if cached else None',
+        'return None',
+        _LOST_WRITES,
+    ),
+    Mutant(
+        'direct: a new claim starts from the terms of the one before it',
+        _TAKEOVER / 'claims.py',
+        'led = max(observed_term, Term(last.term - 1))',
+        'led = observed_term',
+        f'{_TESTS}/test_claims.py',
+    ),
+)
