No replica is held while the old primary can be demoted

What callers would see: a confirmed write is gone after a planned change of primary. Change: a handover waits for the nodes or demotes the old primary, repeatedly, as long as it is reachable; replicas are held only once it is not. Result: test_replicas_receive_what_a_leaving_primary_still_commits failed before for 1, 2 and 4 refusals and passes; its mutant is caught.

--- a/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/fencing.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/fencing.py
@@ -67,12 +67,32 @@
         Returns:
             Whether that is certain; false if the deadline passed before.
         """
-        if self._takeover.kind is TakeoverKind.HANDOVER:
-            if await self._all_stopped(HANDOVER_STOP_ACK_TIMEOUT):
+        handover = self._takeover.kind is TakeoverKind.HANDOVER
+        if handover and await self._stop_reachable_primary():
+            return True
+        return await self._fence_until_stopped()
+
+    async def _stop_reachable_primary(self) -> bool:
+        """Waits until every node has stopped, or demotes the old primary.
+
+        No replica is held meanwhile: it would not receive what nodes that have
+        not stopped yet still commit.
+
+        Returns:
+            Whether the use of the old primary has ended; false if it became
+            unreachable or the deadline passed before.
+        """
+        timeout = HANDOVER_STOP_ACK_TIMEOUT
+        while boot_time() < self._deadline:
+            if await self._all_stopped(timeout):
                 return True
             if await self._demote_old_primary():
                 return True
-        return await self._fence_until_stopped()
+            if not self._old_primary_reachable():
+                return False
+            timeout = STOP_ACK_TIMEOUT
+            await asyncio.sleep(RETRY_INTERVAL)
+        return False
 
     async def _fence_until_stopped(self) -> bool:
         """Holds the replicas and waits until every node has stopped.
@@ -197,13 +217,17 @@
         term = self._fence_term()
         held = await self._endpoint_monitor.control_all(replicas, _hold(term))
         demoted = 0
-        former = self._group.endpoints.get(old) if old else None
-        if former is not None and former.unreachable_since is None:
+        if self._old_primary_reachable():
             demoted = int(await self._demote_old_primary())
         return demoted + sum(
             status is not None and status.held_term >= term for status in held
         )
 
+    def _old_primary_reachable(self) -> bool:
+        old = self._takeover.old
+        endpoint = self._group.endpoints.get(old) if old else None
+        return endpoint is not None and endpoint.unreachable_since is None
+
     def _fence_term(self) -> Term:
         """Returns the term to fence endpoints at, above all their terms."""
         return max(self._takeover.term, Term(self._group.highest_term + 1))
--- a/packages/cowslipfork-direct/tests/takeover/test_lost_writes.py
+++ b/packages/cowslipfork-direct/tests/takeover/test_lost_writes.py
@@ -4,6 +4,7 @@
 import json
 
 import pytest
+from direct_fakes import servers
 from direct_fakes.world import FRESH, run, statement, world
 
 from cowslipfork.outcomes import Done
@@ -89,3 +90,43 @@
 async def duty_holder(cluster):
     entry = await cluster.store.get('cowslipfork/duty')
     return json.loads(entry.content)['holder']
+
+
+@pytest.mark.parametrize('refused', [1, 2, 4])
+def test_replicas_receive_what_a_leaving_primary_still_commits(
+    monkeypatch, refused
+):
+    monkeypatch.setattr(servers.FakeLink, 'demote', busy_at_first(refused))
+
+    async def main():
+        async with world(nodes=3) as cluster:
+            cluster.stores['n2'].hears_news.clear()
+            writers = [
+                asyncio.create_task(confirmed_writes(cluster, 'n2', 4, 0.002))
+                for _ in range(4)
+            ]
+            cluster.servers['e1'].leaving = True
+            cluster.list_server(cluster.servers['e1'])
+            await asyncio.sleep(3)
+            cluster.stores['n2'].hears_news.set()
+            confirmed = sum(await asyncio.gather(*writers), [])
+            return cluster, confirmed
+
+    cluster, confirmed = run(main())
+    assert cluster.database.primary.name != 'e1'
+    assert len(confirmed) > 100
+    assert lost_writes(cluster, confirmed) == []
+
+
+def busy_at_first(count):
+    """Returns a method that is refused some times before it demotes."""
+    demote = servers.FakeLink.demote
+    refusals = iter(range(count))
+
+    async def demote_later(link, term):
+        if next(refusals, None) is None:
+            return await demote(link, term)
+        await asyncio.sleep(2 * servers.ONE_WAY)
+        return None
+
+    return demote_later
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/takeover_table.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/takeover_table.py
@@ -35,4 +35,11 @@
         'led = observed_term',
         f'{_TESTS}/test_claims.py',
     ),
+    Mutant(
+        'direct: replicas are not held while the old primary is reachable',
+        _TAKEOVER / 'fencing.py',
+        'if handover and await self._stop_reachable_primary():',
+        'if handover and await self._demote_old_primary():',
+        _LOST_WRITES,
+    ),
 )
