A handover compares with a status that is newer than the stop

What callers would see: a confirmed write is gone after a planned change of primary. Found while reading the catch-up of a handover. Cause: if the old primary did not answer its status within the timeout, replicas were compared with its mark of some time before, or with nothing, and the promotion was ordered at once. The stand-in replicated a whole log whenever one commit arrived, which hid this; it replicates up to the commit now, which is stricter.

--- a/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/promoter.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/promoter.py
@@ -158,28 +158,47 @@
 
         Returns after ``CATCH_UP_TIMEOUT`` in any case.
         """
-        deadline = boot_time() + CATCH_UP_TIMEOUT
-        while boot_time() < deadline:
+        begun_at = boot_time()
+        while boot_time() < begun_at + CATCH_UP_TIMEOUT:
             await asyncio.gather(
                 *map(
                     self._endpoint_monitor.inspect,
                     self._group.reachable_endpoints,
                 ),
             )
-            old = self._takeover.old
-            observed = self._group.observed_status(old) if old else None
-            received = [
-                self._received_mark(endpoint.id)
-                for endpoint in self._group.reachable_endpoints
-                if endpoint.id != old and endpoint.id not in refused
-            ]
-            if observed is None or any(
-                mark is not None and mark >= observed.status.received
-                for mark in received
-            ):
+            if self._has_caught_up(begun_at, refused):
                 return
             await asyncio.sleep(RETRY_INTERVAL)
 
+    def _has_caught_up(
+        self, stopped_at: float, refused: set[EndpointId]
+    ) -> bool:
+        """Returns whether a replica has the old primary's whole log.
+
+        True as well if the old primary can't be reached.
+
+        Args:
+            stopped_at: boot time since which the old primary is not used; its
+                mark of an earlier request may be too low.
+            refused: endpoints that the platform can't promote.
+        """
+        old = self._takeover.old
+        endpoint = self._group.endpoints.get(old) if old else None
+        if endpoint is None or endpoint.unreachable_since is not None:
+            return True
+        observed = self._group.observed_status(endpoint.id)
+        if observed is None or observed.begun < stopped_at:
+            return False
+        received = [
+            self._received_mark(other.id)
+            for other in self._group.reachable_endpoints
+            if other.id != old and other.id not in refused
+        ]
+        return any(
+            mark is not None and mark >= observed.status.received
+            for mark in received
+        )
+
     async def _order(self, candidate: EndpointId) -> OrderResult:
         """Orders the platform to promote a candidate.
 
--- a/packages/cowslipfork-direct/tests/fakes/direct_fakes/servers.py
+++ b/packages/cowslipfork-direct/tests/fakes/direct_fakes/servers.py
@@ -177,9 +177,15 @@
         server.applied = len(server.log)
         for replica in self.servers.values():
             if replica is not server:
-                loop.call_later(REPLICATION, self._receive, server, replica)
-
-    def _receive(self, primary, replica):
+                loop.call_later(
+                    REPLICATION,
+                    self._receive,
+                    server,
+                    replica,
+                    len(server.log),
+                )
+
+    def _receive(self, primary, replica, count):
         loop = asyncio.get_running_loop()
         if (
             replica.replication_blocked
@@ -189,7 +195,8 @@
             or not self.reaches(primary, replica)
         ):
             return
-        replica.log = list(primary.log)
+        count = max(count, len(replica.log))
+        replica.log = primary.log[:count]
         loop.call_later(replica.lag, self._apply, replica, len(replica.log))
 
     def _apply(self, replica, count):
--- a/packages/cowslipfork-direct/tests/takeover/test_lost_writes.py
+++ b/packages/cowslipfork-direct/tests/takeover/test_lost_writes.py
@@ -130,3 +130,25 @@
         return None
 
     return demote_later
+
+
+@pytest.mark.parametrize('status_time', [0, 0.2, 0.4, 0.6])
+def test_a_handover_waits_for_what_a_slow_primary_has_committed(
+    monkeypatch, status_time
+):
+    monkeypatch.setattr(servers, 'REPLICATION', 0.5)
+
+    async def main():
+        async with world(nodes=3) as cluster:
+            cluster.database.promotion_delay = 0
+            writer = asyncio.create_task(confirmed_writes(cluster, 'n2', 4))
+            await asyncio.sleep(1)
+            cluster.servers['e1'].status_time = status_time
+            cluster.servers['e1'].leaving = True
+            cluster.list_server(cluster.servers['e1'])
+            return cluster, await writer
+
+    cluster, confirmed = run(main())
+    assert cluster.database.primary.name != 'e1'
+    assert len(confirmed) > 50
+    assert lost_writes(cluster, confirmed) == []
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/takeover_table.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/takeover_table.py
@@ -42,4 +42,11 @@
         'if handover and await self._demote_old_primary():',
         _LOST_WRITES,
     ),
+    Mutant(
+        'direct: a handover needs a status that is newer than the stop',
+        _TAKEOVER / 'promoter.py',
+        'if observed is None or observed.begun < stopped_at:',
+        'if observed is None:',
+        _LOST_WRITES,
+    ),
 )
