An order without an answer is repeated for the same endpoint

What callers would see: a confirmed write is gone after two promotions in quick succession. Cause: after an order whose answer was lost the promoter chose anew. If another endpoint was better by then, both became primary, and nodes used the first one, which the record allowed, until the second took over. Change: such an order is repeated, which the platform answers alike if it was carried out; if the endpoint is not running the takeover is claimed anew, so that all nodes stop again and the term that it may have led is rejected.

--- a/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/promoter.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/promoter.py
@@ -95,9 +95,16 @@
             await self._abandon()
 
     async def _promote(self) -> None:
+        """Orders promotions until one is accepted.
+
+        After an order without an answer its endpoint may become primary, and
+        nodes would use it. No other one is ordered then until the takeover
+        has been claimed anew, so that all nodes stop again.
+        """
         refused: set[EndpointId] = set()
+        uncertain: EndpointId | None = None
         while boot_time() < self._deadline:
-            candidate = await self._choose_candidate(refused)
+            candidate = uncertain or await self._choose_candidate(refused)
             if candidate is None:
                 refused.clear()
                 await asyncio.sleep(RETRY_INTERVAL)
@@ -106,9 +113,11 @@
             if result is OrderResult.ACCEPTED:
                 await self._finish(candidate)
                 return
+            if result is OrderResult.LOST:
+                uncertain = candidate
             if result is OrderResult.NOT_RUNNING:
                 refused.add(candidate)
-            if self._lost_claim():
+            if uncertain in refused or self._lost_claim():
                 return
             await asyncio.sleep(RETRY_INTERVAL)
         log.error('takeover_stuck', extra={'group': self._group.name})
--- a/packages/cowslipfork-direct/tests/takeover/test_lost_writes.py
+++ b/packages/cowslipfork-direct/tests/takeover/test_lost_writes.py
@@ -8,6 +8,7 @@
 from direct_fakes.world import FRESH, run, statement, world
 
 from cowslipfork.outcomes import Done
+from cowslipfork_direct.promotion import OrderResult
 
 
 async def confirmed_writes(cluster, node, seconds, interval=0.01):
@@ -152,3 +153,40 @@
     assert cluster.database.primary.name != 'e1'
     assert len(confirmed) > 50
     assert lost_writes(cluster, confirmed) == []
+
+
+@pytest.mark.parametrize('answer_after', [0, 0.3, 0.55, 0.7])
+def test_an_order_without_an_answer_is_repeated_for_the_same_endpoint(
+    answer_after,
+):
+    async def main():
+        async with world(nodes=3) as cluster:
+            carry_out = cluster.order
+            cluster.order = lost_first_answer(cluster, carry_out, answer_after)
+            writer = asyncio.create_task(confirmed_writes(cluster, 'n1', 5))
+            await asyncio.sleep(0.1)
+            cluster.servers['e1'].leaving = True
+            cluster.list_server(cluster.servers['e1'])
+            return cluster, await writer
+
+    cluster, confirmed = run(main())
+    assert lost_writes(cluster, confirmed) == []
+    first, second = [order.endpoint for _, order in cluster.orders[:2]]
+    assert first == second
+
+
+def lost_first_answer(cluster, carry_out, answer_after):
+    """Carries the first order out without an answer; its endpoint leaves."""
+    answers = iter([OrderResult.LOST])
+
+    async def order(promotion):
+        result = await carry_out(promotion)
+        lost = next(answers, None)
+        if lost is not None:
+            await asyncio.sleep(answer_after)
+            server = cluster.servers[promotion.endpoint]
+            server.leaving = True
+            cluster.list_server(server)
+        return lost or result
+
+    return order
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/takeover_table.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/takeover_table.py
@@ -49,4 +49,11 @@
         'if observed is None:',
         _LOST_WRITES,
     ),
+    Mutant(
+        'direct: an order without an answer is repeated',
+        _TAKEOVER / 'promoter.py',
+        'candidate = uncertain or await self._choose_candidate(refused)',
+        'candidate = await self._choose_candidate(refused)',
+        _LOST_WRITES,
+    ),
 )
