Mutants of the store's client stand in a table of their own

Change: the twelve rows of the store's client, watches and paths moved, as they were, to store_table.py. Result: the tests of the table pass.

--- a/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/table.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/table.py
@@ -8,6 +8,7 @@
 from cowslipfork_lab.mutants.direct_table import DIRECT_MUTANTS
 from cowslipfork_lab.mutants.mutant import Mutant
 from cowslipfork_lab.mutants.sharing_table import SHARING_MUTANTS
+from cowslipfork_lab.mutants.store_table import STORE_MUTANTS
 from cowslipfork_lab.mutants.takeover_table import TAKEOVER_MUTANTS
 
 _DOMAIN: Final = PurePosixPath('packages/cowslipfork/src/cowslipfork')
@@ -331,6 +332,7 @@
         f'{_RATE_LIMITS_TESTS}/test_fleet.py',
     ),
     *DIRECT_MUTANTS,
+    *STORE_MUTANTS,
     *TAKEOVER_MUTANTS,
     *SHARING_MUTANTS,
 )
