An error in one reader of the store's changes loses none of another's

Cause: an answer's changes were noted as known before they were delivered. An unexpected error in one reader, say of a server's entry, ended the delivery; the task started again, but what the other readers had not got counted as known. Change: all readers get their changes; those of the failed one count as new again and come with a list of the store.

--- a/packages/cowslipfork-direct/src/cowslipfork_direct/known_keys.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/known_keys.py
@@ -43,6 +43,16 @@
             size = len(event.content)
             self._known[event.key] = _KnownKey(event.revision, size)
 
+    def forget(self, event: Event) -> None:
+        """Has a change count as new once more.
+
+        A removed key is noted as known, so that its absence is noticed again.
+        """
+        if event.content is None:
+            self._known[event.key] = _KnownKey(0, 0)
+        else:
+            self._known.pop(event.key, None)
+
     def restart(self, absent: Collection[str]) -> None:
         """Forgets all revisions, which the store may give out again.
 
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/store_watcher.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/store_watcher.py
@@ -206,8 +206,8 @@
         self._record_answer(begun_at)
         absent = self._keys.absent_from({entry.key for entry in entries})
         if self._restored:
-            self._restored = False
             self._apply_restored(entries, absent, revision)
+            self._restored = False
         else:
             self._absent_until = None
             changes = [Event(key, None, revision) for key in absent]
@@ -243,18 +243,41 @@
         )
 
     def _apply_events(self, events: Iterable[Event]) -> None:
+        """Delivers changes to all subscribers.
+
+        After an error in one of them the others still get theirs, and the
+        changes that it was to read are listed and delivered again.
+        """
         new_events = list(filter(self._keys.is_new, events))
         for event in new_events:
             self._revision = max(self._revision, event.revision)
             self._keys.add(event)
-        for subscription in self._subscriptions:
-            matching = [
-                change
-                for change in new_events
-                if change.key.startswith(subscription.prefix)
-            ]
+        errors = [
+            error
+            for subscription in self._subscriptions
+            if (error := self._deliver(subscription, new_events))
+        ]
+        if errors:
+            self._revision = 0
+            raise errors[0]
+
+    def _deliver(
+        self, subscription: Subscription, events: Sequence[Event]
+    ) -> Exception | None:
+        """Returns the error of a subscriber; None if it read its changes."""
+        matching = [
+            change
+            for change in events
+            if change.key.startswith(subscription.prefix)
+        ]
+        try:
             if matching:
                 subscription.on_events(matching)
+        except Exception as error:
+            for change in matching:
+                self._keys.forget(change)
+            return error
+        return None
 
     def _record_lost(self, error: StoreDown) -> None:
         if not self._store_lost:
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/store_table.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/store_table.py
@@ -103,4 +103,18 @@
         "if begun_at >= float('-inf'):",
         f'{_TESTS}/test_rerouting.py',
     ),
+    Mutant(
+        'direct: changes are delivered again after an error in their reader',
+        _DIRECT / 'store_watcher.py',
+        'self._keys.forget(change)',
+        'self._keys.add(change)',
+        f'{_TESTS}/test_failing_reader.py',
+    ),
+    Mutant(
+        'direct: an error in one reader loses no change of another',
+        _DIRECT / 'store_watcher.py',
+        '            return error\n',
+        '            raise error from None\n',
+        f'{_TESTS}/test_failing_reader.py',
+    ),
 )
