Even shares do not depend on the order of news

Cause: a node had INITIAL_LINKS = 2 connections to each server until the list of nodes changed, then its even share, 44 // 31 = 1. Before two nodes that the store turned away lost their leases, the list changed, and all nodes had 1; since then they keep their leases (node_gone: 62 lines before, none now) and all keep 2. With idle connections of 2 the dead nodes' connections fill the limit, and few can connect for three seconds: half of the primaries were found after second 37.3 (before: 35.6). Change: the division follows configuration, endpoints and nodes alike. What it leaves over (13 of 44) goes to some of the nodes, so that all connections may be used, but a node keeps no more than the whole quotient open without use. The test that shares stay after a change of the configuration stated the old behaviour; the new ones state the division itself for every order of news.

--- a/packages/cowslipfork-direct/src/cowslipfork_direct/group.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/group.py
@@ -19,6 +19,7 @@
     LeaderLease,
 )
 from cowslipfork_direct.link import EndpointStatus, Network
+from cowslipfork_direct.link_quota import LinkQuota
 from cowslipfork_direct.listing import ListedEndpoint
 from cowslipfork_direct.mark_history import MarkHistory
 from cowslipfork_direct.observed_statuses import (
@@ -90,8 +91,7 @@
         self._max_rejected_term = Term(0)
         self._candidate: Leader | None = None
         self._paused = False
-        self._link_quota = INITIAL_LINKS
-        self._statements_at_once: int | None = None
+        self._link_quota = LinkQuota(INITIAL_LINKS)
         self._changed = asyncio.Event()
         self._uninspected = asyncio.Event()
 
@@ -201,30 +201,21 @@
         )
         for name, entry in entries.items():
             self._relist(self._endpoints[name], entry)
-        self.set_link_quota(self._link_quota, self._statements_at_once)
+        self.set_link_quota(self._link_quota)
         return added
 
-    def set_link_quota(
-        self, links: int, statements_at_once: int | None = None
-    ) -> None:
-        """Sets the connection quota of this node at each endpoint.
-
-        Args:
-            links: connections to each endpoint, at least 1.
-            statements_at_once: statements that this node sends to an endpoint
-                at once, at least 1; the other connections are kept for idle
-                transactions and other workspaces. None for as many as
-                connections, with spare connections beyond them.
-        """
-        self._link_quota = links
-        self._statements_at_once = statements_at_once
-        beyond = SPARE_LINKS if statements_at_once is None else 0
-        slots = min(links, statements_at_once or links)
+    def set_link_quota(self, quota: LinkQuota) -> None:
+        """Sets the connection quota of this node at each endpoint."""
+        self._link_quota = quota
+        links = quota.links
+        beyond = SPARE_LINKS if quota.statements_at_once is None else 0
+        slots = min(links, quota.statements_at_once or links)
         self.queue.resize(
             dict.fromkeys(self._endpoints, slots), links + beyond - slots
         )
+        kept = min(links, quota.kept or links)
         for endpoint in self._endpoints.values():
-            endpoint.pool.set_quota(links, beyond)
+            endpoint.pool.set_quota(kept, links + beyond - kept)
 
     def retire_connections(self, workspaces: Collection[WorkspaceName]) -> None:
         """Closes connections of workspaces, those in use once returned.
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/node.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/node.py
@@ -397,7 +397,7 @@
         self._services.apply_takeover(takeover)
 
     def _on_nodes_changed(self) -> None:
-        self._placement.update_nodes()
+        self._placement.update()
         if self._view.table.workspaces:
             self._rate_limits.refresh()
 
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/placement.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/placement.py
@@ -14,6 +14,7 @@
 from cowslipfork_direct.fleet import Fleet
 from cowslipfork_direct.forwarding import CarrierTable
 from cowslipfork_direct.group import Group
+from cowslipfork_direct.link_quota import LinkQuota, even_quota
 from cowslipfork_direct.routes import GroupRules
 from cowslipfork_direct.view import View
 
@@ -82,11 +83,7 @@
         return self._fleet.alive | {self._node}
 
     def update(self) -> None:
-        """Applies a change of the configuration or the endpoints.
-
-        The even shares of groups without carriers stay: until the list of
-        nodes changes, a node may use ``INITIAL_LINKS`` connections.
-        """
+        """Applies a change of the configuration, the endpoints or the nodes."""
         self._table.refresh()
         for group in self._view.groups.values():
             rules = self._view.table.groups.get(group.name)
@@ -94,15 +91,17 @@
                 self._apply_carriers(group, rules)
             else:
                 group.activity.require(required=True)
-
-    def update_nodes(self) -> None:
-        """Applies a change of the list of nodes."""
-        self.update()
-        nodes = max(1, len(self._fleet.registered))
-        for group in self._view.groups.values():
-            rules = self._view.table.groups.get(group.name)
-            if rules is not None and not self.has_carriers(group.name):
-                group.set_link_quota(max(1, rules.connections // nodes))
+                self._apply_even_quota(group, rules)
+
+    def _apply_even_quota(self, group: Group, rules: GroupRules | None) -> None:
+        if rules is not None:
+            quota = even_quota(
+                group.name,
+                self._node,
+                self._fleet.registered,
+                rules.connections,
+            )
+            group.set_link_quota(quota)
 
     def _apply_carriers(self, group: Group, rules: GroupRules) -> None:
         carriers = self._table.carriers(group.name)
@@ -113,7 +112,7 @@
             else NO_CARRIER_SHARE
         )
         group.activity.require(required=is_carrier)
-        group.set_link_quota(share.connections, share.statements)
+        group.set_link_quota(LinkQuota(share.connections, share.statements))
 
 
 def _share(group: Group, rules: GroupRules, carriers: int) -> EndpointShare:
--- a/packages/cowslipfork-direct/tests/test_connection_pool.py
+++ b/packages/cowslipfork-direct/tests/test_connection_pool.py
@@ -21,6 +21,7 @@
 from cowslipfork_direct.checkout import Checkout, check_out
 from cowslipfork_direct.connection_pool import (
     IDLE_LIMIT,
+    SPARE_IDLE_LIMIT,
     WORKSPACE_IDLE_LIMIT,
     ConnectionPool,
 )
@@ -31,6 +32,7 @@
     Network,
     ReplyCode,
 )
+from cowslipfork_direct.link_quota import LinkQuota
 from cowslipfork_direct.listing import ListedEndpoint
 from cowslipfork_direct.pool_policy import Wanted, may_use_another
 from cowslipfork_direct.reading import read_candidates
@@ -461,7 +463,7 @@
 ):
     async def main():
         group = group_of(Opener(), 'a')
-        group.set_link_quota(*quota)
+        group.set_link_quota(LinkQuota(*quota))
         # A change of the endpoints must keep the limits.
         group.update_endpoints([listed('a'), listed('b')])
         taken = 0
@@ -475,11 +477,26 @@
     assert isinstance(run(main()), QueueRejection)
 
 
+def test_connections_beyond_the_kept_ones_are_closed_without_use():
+    async def main():
+        opener = Opener()
+        group = group_of(opener, 'a')
+        group.set_link_quota(LinkQuota(2, kept=1))
+        first, second = await begin(group, W), await begin(group, W)
+        used = len(opener.open)
+        first.release()
+        second.release()
+        await asyncio.sleep(2 * SPARE_IDLE_LIMIT)
+        return used, len(opener.open)
+
+    assert run(main()) == (2, 1)
+
+
 def test_a_share_that_is_used_up_waits():
     async def main():
         opener = Opener()
         group = group_of(opener, 'a')
-        group.set_link_quota(2, 2)
+        group.set_link_quota(LinkQuota(2, 2))
         first, second = await begin(group, W), await begin(group, W)
         waiting = asyncio.create_task(begin(group, X))
         await asyncio.sleep(0.1)
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/direct_table.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/direct_table.py
@@ -11,7 +11,6 @@
     'packages/cowslipfork-direct/src/cowslipfork_direct'
 )
 _TESTS: Final = 'packages/cowslipfork-direct/tests'
-_PLATFORM_TESTS: Final = '-c platform/pyproject.toml platform/tests'
 _MECHANISMS: Final = f'{_TESTS}/test_mechanisms.py'
 _TAKEOVER: Final = f'{_TESTS}/takeover'
 _SESSION: Final = f'{_TESTS}/test_session.py'
@@ -362,4 +361,25 @@
         'if store else addresses',
         f'{_TESTS}/test_rerouting.py',
     ),
+    Mutant(
+        'direct: idle connections leave room at an endpoint',
+        _DIRECT / 'group.py',
+        'kept = min(links, quota.kept or links)',
+        'kept = links',
+        f'{_TESTS}/test_connection_pool.py',
+    ),
+    Mutant(
+        'direct: what an even division leaves over is used',
+        _DIRECT / 'link_quota.py',
+        'extra = int(ordered.index(node) < remainder)',
+        'extra = 0 * ordered.index(node)',
+        f'{_TESTS}/test_placement.py',
+    ),
+    Mutant(
+        'direct: even shares do not depend on the order of news',
+        _DIRECT / 'placement.py',
+        'self._apply_even_quota(group, rules)',
+        'rules and group.endpoints',
+        f'{_TESTS}/test_placement.py',
+    ),
 )
