The path to the store is chosen apart from the calls

Change: store_path holds the choice, without any call; WatchCut is WatchClosed. No decision differs.

--- a/packages/cowslipfork-direct/src/cowslipfork_direct/store_watcher.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/store_watcher.py
@@ -22,7 +22,7 @@
     Store,
     StoreDown,
     TooManyChanges,
-    WatchCut,
+    WatchClosed,
     backoff_delays,
 )
 from cowslipfork_direct.clock import boot_time
@@ -149,7 +149,7 @@
                 _log_unread_changes(error)
                 self._revision = 0
             except StoreDown as error:
-                if isinstance(error, WatchCut):
+                if isinstance(error, WatchClosed):
                     # The store may be about to compact its history; a watch
                     # begun before that may deliver nothing until it times out.
                     self._revision = 0
--- a/packages/cowslipfork-direct/tests/test_rerouting.py
+++ b/packages/cowslipfork-direct/tests/test_rerouting.py
@@ -8,14 +8,14 @@
     Put,
     StoreDown,
     StoreUncertain,
-    WatchCut,
+    WatchClosed,
 )
 from cowslipfork.store.memory import MemoryStore
 from cowslipfork_direct.relay import Address
-from cowslipfork_direct.rerouting import (
+from cowslipfork_direct.rerouting import ReroutedStore
+from cowslipfork_direct.store_path import (
     DIRECT_RETRY_INTERVAL,
     MAX_RELAYS_IN_A_ROW,
-    ReroutedStore,
 )
 
 RELAY = Address('n2', 1)
@@ -222,37 +222,37 @@
     assert run(main()) == switched
 
 
-class CutWatches:
-    """A store that cuts the next watches before they are answered."""
+class ClosedWatches:
+    """A store that closes the next watches before they are answered."""
 
-    def __init__(self, cuts):
-        self.cuts = cuts
+    def __init__(self, closes):
+        self.closes = closes
 
     async def get(self, key):
         raise StoreDown('get', 'no answer')
 
     async def watch(self, prefix, after, max_size=None):
-        if self.cuts:
-            self.cuts -= 1
-            raise WatchCut('watch', 'connection reset')
+        if self.closes:
+            self.closes -= 1
+            raise WatchClosed('watch', 'connection reset')
         yield []
 
 
 @pytest.mark.parametrize(
-    ('cuts', 'relay'),
+    ('closes', 'relay'),
     [((1,), None), ((2,), RELAY), ((1, 1), None), ((1, 2), RELAY)],
 )
-def test_a_watch_that_was_cut_goes_on_without_a_relay(cuts, relay):
-    """Guards against a detour of all nodes when the store cuts all watches."""
+def test_a_closed_watch_goes_on_without_a_relay(closes, relay):
+    """Guards against a detour of all nodes when all watches are closed."""
 
     async def main():
-        direct = CutWatches(0)
+        direct = ClosedWatches(0)
         store = ReroutedStore(
-            lambda via: CutWatches(0) if via else direct, lambda: [RELAY]
+            lambda via: ClosedWatches(0) if via else direct, lambda: [RELAY]
         )
-        for direct.cuts in cuts:
-            for _ in range(direct.cuts):
-                with pytest.raises(WatchCut):
+        for direct.closes in closes:
+            for _ in range(direct.closes):
+                with pytest.raises(WatchClosed):
                     await anext(store.watch('', 0))
             await anext(store.watch('', 0))
         return store.relay
--- a/packages/cowslipfork-direct/tests/test_store_watcher.py
+++ b/packages/cowslipfork-direct/tests/test_store_watcher.py
@@ -4,7 +4,7 @@
 from direct_fakes.world import run
 from virtual_time import run_virtual
 
-from cowslipfork.store import HistoryLost, Put, StoreDown, WatchCut
+from cowslipfork.store import HistoryLost, Put, StoreDown, WatchClosed
 from cowslipfork.store.memory import Fault, MemoryStore
 from cowslipfork_direct.relay import Address
 from cowslipfork_direct.rerouting import ReroutedStore
@@ -260,21 +260,21 @@
     assert run_virtual(main()) == ['a/1']
 
 
-def test_changes_around_a_cut_do_not_wait_for_the_next_watch():
+def test_changes_around_a_closed_watch_do_not_wait_for_the_next_watch():
     """Guards against a watch that is begun just before a compaction."""
     store = MemoryStore()
     store.put('a/1', b'old')
     cuts = [True]
 
-    async def watch_after_cut(prefix, after, max_size):
+    async def watch_after_close(prefix, after, max_size):
         if cuts:
             await asyncio.sleep(0.5)
             cuts.pop()
-            raise WatchCut('watch', 'connection reset')
+            raise WatchClosed('watch', 'connection reset')
         await asyncio.Event().wait()
         yield []
 
-    store.watch = watch_after_cut
+    store.watch = watch_after_close
 
     async def steps(_):
         store.put('a/1', b'new')
--- a/packages/cowslipfork/src/cowslipfork/store/__init__.py
+++ b/packages/cowslipfork/src/cowslipfork/store/__init__.py
@@ -17,7 +17,7 @@
     StoreUncertain,
     SwapResult,
     TooManyChanges,
-    WatchCut,
+    WatchClosed,
 )
 from cowslipfork.store.rate_limiter import CallRateLimiter
 from cowslipfork.store.unreadable import RecordUnreadable
@@ -40,6 +40,6 @@
     'StoreUncertain',
     'SwapResult',
     'TooManyChanges',
-    'WatchCut',
+    'WatchClosed',
     'backoff_delays',
 )
--- a/packages/cowslipfork/src/cowslipfork/store/port.py
+++ b/packages/cowslipfork/src/cowslipfork/store/port.py
@@ -44,7 +44,7 @@
     """
 
 
-class WatchCut(StoreDown):
+class WatchClosed(StoreDown):
     """The store closed a watch's connection; a new one may work at once."""
 
 
