--- a/packages/cowslipfork-direct/src/cowslipfork_direct/store_path.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/store_path.py
@@ -1,6 +1,6 @@
-"""Chooses the path to the store: the direct connection or another node's relay.
+"""Chooses the path to the store: the direct one or another node's relay.
 
-Pure state over the answers and failures of calls; ``rerouting`` makes the calls.
+Pure state over answers and failures of calls; ``rerouting`` makes the calls.
 """
 
 from __future__ import annotations
