A transaction that ran a statement is not begun anew

Cause: a first statement whose answer could not be confirmed, since the primary changed meanwhile, ended as "not run", and the transaction was begun anew and the statement sent again on another connection, though only refusals by the server mean that nothing but BEGIN has run. The first run is rolled back, so that nothing was kept twice, but a transaction may not change its connection. Evidence: under virtual time a handover 0.01 to 0.1 s after the statement was sent has it run at both primaries. Change: a transaction of which a statement may have run is not begun anew; its caller is told that it is lost, as for any later statement. Forwarded ones were not repeated; checked by reading.

--- a/packages/cowslipfork-direct/src/cowslipfork_direct/transaction.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/transaction.py
@@ -137,13 +137,19 @@
                 return begun
             outcome = await self._run_at(begun, served)
             if isinstance(outcome, NotRun) and self._may_restart(served):
-                # Nothing but BEGIN has run, so another endpoint may serve it.
                 await self.end()
                 await asyncio.sleep(next(self._retry_delays))
                 continue
             return outcome
 
     def _may_restart(self, served: ServedStatement) -> bool:
+        """Returns whether another endpoint may serve the first statement.
+
+        Not if it has run, though its answer can't be used and is rolled back:
+        a transaction stays on one connection.
+        """
+        if self._may_have_run:
+            return False
         return has_time_to_send(served) and served.service.budget.try_spend()
 
     async def _run_at(
--- a/packages/cowslipfork-direct/tests/test_session.py
+++ b/packages/cowslipfork-direct/tests/test_session.py
@@ -231,6 +231,29 @@
     assert made.servers['e1'].log == []
 
 
+@pytest.mark.parametrize('leaves_after', [0.01, 0.05, 0.1])
+def test_a_transaction_that_ran_a_statement_is_not_begun_anew(leaves_after):
+    """Guards against a first statement that runs on two connections."""
+
+    async def main():
+        async with world(nodes=3) as made:
+            made.configure(timeout=5)
+            await asyncio.sleep(0.5)
+            made.servers['e1'].service_time = 0.5
+            session = await made.session()
+            await session.run(statement('BEGIN'))
+            first = asyncio.create_task(session.run(statement('WRITE a 1')))
+            await asyncio.sleep(leaves_after)
+            made.servers['e1'].leaving = True
+            made.list_server(made.servers['e1'])
+            return made, await first
+
+    made, first = run(main())
+    assert first.reason is Reason.TRANSACTION_LOST
+    executed = [server.statements for server in made.servers.values()]
+    assert [len(statements) for statements in executed] == [1, 0, 0]
+
+
 def test_nothing_is_sent_on_a_connection_with_an_outstanding_answer():
     async def main():
         async with world() as made:
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/direct_table.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/direct_table.py
@@ -382,4 +382,11 @@
         'rules and group.endpoints',
         f'{_TESTS}/test_placement.py',
     ),
+    Mutant(
+        'direct: a transaction that ran a statement is not begun anew',
+        _DIRECT / 'transaction.py',
+        'if self._may_have_run:',
+        'if served.writes is None:',
+        _SESSION,
+    ),
 )
