A watch that fails as it is ended leaves no error in the log

Cause: the failure of a watch changes the path, which starts another watch and ends the newest one: that which is failing. Nobody read its error any more. Change: the error of each watch that has ended is read. Result: the new test failed before in one of two cases and passes; its mutant is caught.

--- a/packages/cowslipfork-direct/src/cowslipfork_direct/watch_race.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/watch_race.py
@@ -42,7 +42,7 @@
         while len(self._running) >= MAX_WATCHES:
             self._running.pop().cancel()
         task = asyncio.create_task(self._run())
-        task.add_done_callback(self._ended.put_nowait)
+        task.add_done_callback(self._note_end)
         self._running.append(task)
 
     async def run(self) -> None:
@@ -67,6 +67,12 @@
     async def _run(self) -> None:
         await self._watch(self._keep_current)
 
+    def _note_end(self, task: asyncio.Task[None]) -> None:
+        """Queues a task; its error is of no use if the race is over for it."""
+        if not task.cancelled():
+            task.exception()
+        self._ended.put_nowait(task)
+
     def _handle_failure(self, error: BaseException | None) -> None:
         """Raises the error of a watch unless another one may go on."""
         if error is None:
--- a/packages/cowslipfork-direct/tests/test_watch_race.py
+++ b/packages/cowslipfork-direct/tests/test_watch_race.py
@@ -1,6 +1,7 @@
 """Two watches at a time, of which the first one with an answer stays."""
 
 import asyncio
+import gc
 
 import pytest
 from direct_fakes.world import run
@@ -15,6 +16,8 @@
     def __init__(self):
         self.outcomes = []
         self.cancelled = []
+        #: Called by a watch just before it fails.
+        self.before_failure = lambda: None
 
     async def watch(self, on_answer):
         number = len(self.outcomes)
@@ -23,6 +26,7 @@
             while True:
                 error = await self.outcomes[number].get()
                 if error is not None:
+                    self.before_failure()
                     raise error
                 on_answer()
         except asyncio.CancelledError:
@@ -100,3 +104,25 @@
 
     with pytest.raises(HistoryLost):
         race_during(steps)
+
+
+@pytest.mark.parametrize('failing', [0, 1])
+def test_a_watch_whose_failure_starts_another_leaves_no_unread_error(failing):
+    """Guards against an error in the log for each change of the path."""
+    unread = []
+
+    async def steps(watches, race):
+        asyncio.get_running_loop().set_exception_handler(
+            lambda _, context: unread.append(context['message'])
+        )
+        race.start_another()
+        await asyncio.sleep(0.1)
+        watches.before_failure = race.start_another
+        watches.fail(failing, StoreDown('watch', 'no answer'))
+        await asyncio.sleep(0.1)
+        watches.before_failure = lambda: None
+        gc.collect()
+
+    race_during(steps)
+    gc.collect()
+    assert unread == []
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/store_table.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/store_table.py
@@ -118,4 +118,11 @@
         '            raise error from None\n',
         f'{_TESTS}/test_failing_reader.py',
     ),
+    Mutant(
+        'direct: a watch that is ended leaves no unread error',
+        _DIRECT / 'watch_race.py',
+        '            task.exception()\n',
+        '            pass\n',
+        f'{_TESTS}/test_watch_race.py',
+    ),
 )
