--- a/packages/cowslipfork-direct/tests/takeover/test_lost_writes.py
+++ b/packages/cowslipfork-direct/tests/takeover/test_lost_writes.py
@@ -73,7 +73,7 @@
 
 async def writes_around_restart(cluster, down):
     """Restarts the promoter while the others write and one hears no news."""
-    promoter = await duty_holder(cluster)
+    promoter = await current_promoter(cluster)
     others = [node for node in cluster.nodes if node != promoter]
     writers = [
         asyncio.create_task(confirmed_writes(cluster, node, 6))
@@ -88,7 +88,7 @@
     return sum(await asyncio.gather(*writers), [])
 
 
-async def duty_holder(cluster):
+async def current_promoter(cluster):
     entry = await cluster.store.get('cowslipfork/duty')
     return json.loads(entry.content)['holder']
 
