--- a/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/takeover_table.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/takeover_table.py
@@ -56,4 +56,11 @@
         'candidate = await self._choose_candidate(refused)',
         _LOST_WRITES,
     ),
+    Mutant(
+        'direct: a takeover that has taken effect is recorded',
+        _TAKEOVER / 'primary_supervisor.py',
+        'return cached if own or self._may_resume(cached) else None',
+        'return None',
+        _LOST_WRITES,
+    ),
 )
