Build: pbr is a build requirement of hdrhistogram

Cause: on arm64 there is no wheel of hdrhistogram 0.10.8. Its source build needs pbr, which --no-build-isolation does not bring, so make setup stops with metadata version 0.0.0.

Change: the setup installs pbr 7.0.3 beside setuptools, on both kinds of machine.

--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 
 $(READY): requirements-dev.txt $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
-	$(BIN)/pip install --quiet --disable-pip-version-check setuptools==84.2.1
+	$(BIN)/pip install --quiet --disable-pip-version-check setuptools==84.2.1 pbr==7.0.3
 	$(BIN)/pip install --quiet --disable-pip-version-check --no-build-isolation -r requirements-dev.txt
 	touch $(READY)
 
