--- a/review/1/case.py
+++ b/review/1/case.py
@@ -16,6 +16,8 @@
     slots=5, connections=60, promote=0.3, read_time=0.011, write_time=0.011
 )
 
+#: Two machines in each of four zones: five, and three that were added.
+NODES = 8
 CALM = 3.0
 #: Seconds for which the store is down (``platform_down``, ``for_s``).
 DOWN = 4.5
@@ -23,8 +25,8 @@
 FIRST_BACK = 0.1
 BACK = 1.8
 #: Most outages, one after the other; the case ends with the first breach.
-OUTAGES = 7
-AFTER = 5.0
+OUTAGES = 9
+AFTER = 3.0
 
 
 async def write(stage, node, number, state):
@@ -81,7 +83,7 @@
 
 
 async def play(stage):
-    await stage.start(RULES)
+    await stage.start(RULES, nodes=NODES)
     service = stage.services[0]
     stage.configure([route('enrol', service, timeout_ms=1200)], RULES)
     await stage.start_nodes()
