--- a/packages/cowslipfork-direct/src/cowslipfork_direct/endpoint_monitor.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/endpoint_monitor.py
@@ -261,7 +261,7 @@
                 await self._extend_lease()
 
     async def _extend_lease(self) -> None:
-        needed = self._group.majority - 1
+        needed = self._group.confirmations_needed
         replicas = self._replicas()
         await self._inspect_all(replicas[:needed])
         if self._group.leader_lease.renewal_due:
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/fleet.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/fleet.py
@@ -31,6 +31,11 @@
 RECENTLY: Final = 10.0
 
 
+#: Seconds within which a live node whose lease has lapsed registers again once
+#: the store answers.
+REREGISTRATION_TIME: Final = 2.0
+
+
 @dataclass(frozen=True, slots=True)
 class Registered:
     """Entry that a node wrote about itself.
@@ -83,6 +88,7 @@
         self._alive: set[VmId] = set()
         self._gone_at: dict[VmId, float] = {}
         self._left: dict[VmId, int] = {}
+        self._first_read_at: float | None = None
 
     @property
     def registered(self) -> Mapping[VmId, Registered]:
@@ -94,6 +100,22 @@
         """Nodes whose lease has not ended, as last seen in the store."""
         return frozenset(self._alive)
 
+    @property
+    def possibly_alive(self) -> frozenset[VmId]:
+        """Nodes whose lease has lapsed but that may register again.
+
+        These are all registered ones while this node has only just read the
+        registry.
+        """
+        earliest = boot_time() - REREGISTRATION_TIME
+        if self._first_read_at is None or self._first_read_at > earliest:
+            return frozenset(self._registered)
+        return frozenset(
+            node
+            for node, gone_at in self._gone_at.items()
+            if gone_at > earliest and node in self._registered
+        )
+
     @property
     def carrier_candidates(self) -> Mapping[VmId, NodeTraits]:
         """Nodes that may be carriers.
@@ -140,6 +162,8 @@
         )
 
     def _apply_registrations(self, events: Sequence[Event]) -> None:
+        if self._first_read_at is None:
+            self._first_read_at = boot_time()
         for event in events:
             node = VmId(event.key.removeprefix(NODES_PREFIX))
             known = self._registered.pop(node, None)
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/group.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/group.py
@@ -12,6 +12,10 @@
 from cowslipfork.limits import SlotQueue
 from cowslipfork_direct.activity import Activity
 from cowslipfork_direct.clock import boot_time
+from cowslipfork_direct.departed_endpoints import (
+    LISTING_VALIDITY,
+    DepartedEndpoints,
+)
 from cowslipfork_direct.endpoint import Endpoint
 from cowslipfork_direct.leader_lease import (
     CONFIRMATION_VALIDITY,
@@ -20,7 +24,7 @@
 )
 from cowslipfork_direct.link import EndpointStatus, Network
 from cowslipfork_direct.link_quota import LinkQuota
-from cowslipfork_direct.listing import ListedEndpoint
+from cowslipfork_direct.listing import LAPSE_GRACE, ListedEndpoint
 from cowslipfork_direct.mark_history import MarkHistory
 from cowslipfork_direct.observed_statuses import (
     Leader,
@@ -62,6 +66,7 @@
         relays: Callable[[], Sequence[Address]],
         report_gap: Callable[[GroupName, float], None],
         now: Callable[[], float] = boot_time,
+        listing_known_at: Callable[[], float] = boot_time,
     ) -> None:
         """Starts without endpoints.
 
@@ -72,6 +77,8 @@
             report_gap: called with the seconds of each period without a known
                 primary.
             now: clock in seconds that runs while the machine is suspended.
+            listing_known_at: returns the time on that clock up to which the
+                endpoints' entries are known.
         """
         self.name = name
         self.queue = SlotQueue({}, SPARE_LINKS, may_use_another=may_use_another)
@@ -82,6 +89,9 @@
         self._relays = relays
         self._report_gap = report_gap
         self._now = now
+        self._listing_known_at = listing_known_at
+        self._first_listed_at = math.inf
+        self._departed = DepartedEndpoints(now)
         self._endpoints: dict[EndpointId, Endpoint] = {}
         self._observed_statuses = ObservedStatuses()
         self._leader: Leader | None = None
@@ -132,9 +142,29 @@
         return max(reported, last.term if last else Term(0))
 
     @property
-    def majority(self) -> int:
-        """Endpoints needed to confirm the primary, itself included."""
-        return len(self._endpoints) // 2 + 1
+    def confirmations_needed(self) -> int:
+        """Replicas that have to confirm the primary, at least one.
+
+        With the primary they are a majority of the endpoints. A list of them
+        that was read long ago may be outdated: all of them are needed then.
+        """
+        others = len(self._endpoints) - 1
+        outdated = self._listing_known_at() + LISTING_VALIDITY < self._now()
+        return max(1, others if outdated else len(self._endpoints) // 2)
+
+    @property
+    def countable_endpoints(self) -> frozenset[EndpointId]:
+        """Endpoints that some node may count to confirm a primary."""
+        return self._departed.countable.union(self._endpoints)
+
+    @property
+    def listing_settled(self) -> bool:
+        """Whether an endpoint that is not listed has certainly no entry.
+
+        The first list that a node reads may lack entries that lapsed in an
+        outage of the store and that are about to be written again.
+        """
+        return self._now() >= self._first_listed_at + LAPSE_GRACE
 
     @property
     def change_event(self) -> asyncio.Event:
@@ -191,6 +221,7 @@
         Returns:
             Endpoints that are new and must be watched.
         """
+        self._first_listed_at = min(self._first_listed_at, self._now())
         entries = {entry.endpoint: entry for entry in listed}
         for gone in self._endpoints.keys() - entries.keys():
             self._drop(gone)
@@ -374,11 +405,15 @@
             lambda _: self.queue.serve_waiters(),
         )
         self._endpoints[entry.endpoint] = endpoint
+        self._departed.discard(entry.endpoint)
         self._uninspected.set()
         return endpoint
 
     def _drop(self, name: EndpointId) -> None:
-        self._endpoints.pop(name).close()
+        endpoint = self._endpoints.pop(name)
+        endpoint.close()
+        if not endpoint.listed.leaving:
+            self._departed.add(name)
         self.forget(name)
 
     def _endpoint_changed(self, name: EndpointId) -> None:
@@ -425,13 +460,10 @@
         if leader is None:
             return
         confirmed = self._observed_statuses.confirmation_times(leader)
-        needed = self.majority - 1
-        begun = self._now()
-        if needed > len(confirmed):
-            return
-        if needed:
+        needed = self.confirmations_needed
+        if needed <= len(confirmed):
             begun = confirmed[needed - 1]
-        self.leader_lease.extend(begun, CONFIRMATION_VALIDITY)
+            self.leader_lease.extend(begun, CONFIRMATION_VALIDITY)
 
     def _notify_change(self) -> None:
         changed = self._changed
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/listing.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/listing.py
@@ -12,6 +12,10 @@
 #: Most removed endpoints that are remembered.
 MAX_REMOVED: Final = 1000
 
+#: Seconds for which an endpoint stays listed after its entry has lapsed: the
+#: store drops entries in an outage, and their writers write them again.
+LAPSE_GRACE: Final = 3.0
+
 
 @dataclass(frozen=True, slots=True)
 class ListedEndpoint:
@@ -48,9 +52,23 @@
         return Target(self.endpoint, self.group, self.host, self.port)
 
 
+@dataclass(frozen=True, slots=True, eq=False)
+class Lapse:
+    """Removal of an entry whose endpoint has not announced that it leaves.
+
+    Attributes:
+        endpoint: the endpoint.
+    """
+
+    endpoint: EndpointId
+
+
 class EndpointListing:
     """The entries of all endpoints, and which endpoints have left.
 
+    An entry that is removed although its endpoint has not announced that it
+    leaves has lapsed: the endpoint stays listed for ``LAPSE_GRACE``.
+
     When the store returns from an older copy, an endpoint that has left may
     stand in it again, and one that is leaving may stand in it as staying.
     """
@@ -58,6 +76,7 @@
     def __init__(self) -> None:
         """Starts without entries."""
         self._listed: dict[EndpointId, ListedEndpoint] = {}
+        self._lapsed: dict[EndpointId, Lapse] = {}
         self._removed: dict[EndpointId, int] = {}
 
     @property
@@ -68,17 +87,41 @@
     def add(self, entry: ListedEndpoint) -> None:
         """Adds an entry that its endpoint has just written."""
         self._removed.pop(entry.endpoint, None)
+        self._lapsed.pop(entry.endpoint, None)
         self._listed[entry.endpoint] = entry
 
     def remove(self, endpoint: EndpointId) -> None:
         """Removes an endpoint's entry, if there is one."""
         removed = self._listed.pop(endpoint, None)
+        self._lapsed.pop(endpoint, None)
         if removed is None:
             return
         self._removed[endpoint] = removed.born
         while len(self._removed) > MAX_REMOVED:
             self._removed.pop(next(iter(self._removed)))
 
+    def begin_lapse(self, endpoint: EndpointId) -> Lapse | None:
+        """Keeps an endpoint listed whose entry was removed from the store.
+
+        Args:
+            endpoint: the endpoint.
+
+        Returns:
+            The lapse to end after ``LAPSE_GRACE``; None if the endpoint has
+            announced that it leaves, or is not listed.
+        """
+        known = self._listed.get(endpoint)
+        if known is None or known.leaving:
+            return None
+        lapse = Lapse(endpoint)
+        self._lapsed[endpoint] = lapse
+        return lapse
+
+    def end_lapse(self, lapse: Lapse) -> None:
+        """Removes an endpoint unless its entry was written again."""
+        if self._lapsed.get(lapse.endpoint) is lapse:
+            self.remove(lapse.endpoint)
+
     def restore(self, entry: ListedEndpoint) -> None:
         """Applies an entry of a store that returned from an older copy.
 
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/node.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/node.py
@@ -111,6 +111,7 @@
             self._relays,
             self._metrics,
             self._on_added,
+            lambda: self._store_watcher.last_answer_at,
         )
         self._fleet = Fleet(self._on_nodes_changed)
         self._placement = Placement(
@@ -141,6 +142,7 @@
             adapters.promotions,
             self._metrics,
             self._placement.supervisors,
+            self._placement.electors,
         )
         self._registration = Registration(
             identity.name,
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/placement.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/placement.py
@@ -82,6 +82,16 @@
             return frozenset(self._table.carriers(group))
         return self._fleet.alive | {self._node}
 
+    def electors(self, group: GroupName) -> frozenset[VmId]:
+        """Returns the nodes of which a majority has to suspect a primary.
+
+        Leases lapse in an outage of the store, so nodes that may be about to
+        register again count as well.
+        """
+        if self.has_carriers(group):
+            return self.supervisors(group)
+        return self.supervisors(group) | self._fleet.possibly_alive
+
     def update(self) -> None:
         """Applies a change of the configuration, the endpoints or the nodes."""
         self._table.refresh()
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/store_watcher.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/store_watcher.py
@@ -209,8 +209,12 @@
             self._apply_restored(entries, absent, revision)
             self._restored = False
         else:
+            # After ``ABSENCE_GRACE`` a key that is missing is gone for good.
+            waited = self._absent_until is not None
             self._absent_until = None
-            changes = [Event(key, None, revision) for key in absent]
+            changes = [
+                Event(key, None, revision, restored=waited) for key in absent
+            ]
             changes.extend(map(_to_event, entries))
             self._apply_events(changes)
         self._revision = revision
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/subscriptions.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/subscriptions.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
@@ -14,7 +15,12 @@
 from cowslipfork.errors import CowslipforkError
 from cowslipfork.ids import EndpointId
 from cowslipfork.store import Event
-from cowslipfork_direct.listing import EndpointListing, ListedEndpoint
+from cowslipfork_direct.listing import (
+    LAPSE_GRACE,
+    EndpointListing,
+    Lapse,
+    ListedEndpoint,
+)
 from cowslipfork_direct.routes import RoutingTable
 from cowslipfork_direct.store_watcher import Subscription
 from cowslipfork_direct.view import View
@@ -93,30 +99,65 @@
         store_schema: key prefix and decoder of the entries.
         view: the view whose endpoints are updated.
     """
-    listing = EndpointListing()
+    reader = _ListingReader(store_schema, view)
+    return Subscription(store_schema.listing_prefix, reader.apply_events)
 
-    def on_events(events: Sequence[Event]) -> None:
+
+class _ListingReader:
+    """Applies changes of endpoints' entries to a listing and a view."""
+
+    def __init__(self, store_schema: StoreSchema, view: View) -> None:
+        """Starts without entries.
+
+        Args:
+            store_schema: key prefix and decoder of the entries.
+            view: the view whose endpoints are updated.
+        """
+        self._store_schema = store_schema
+        self._view = view
+        self._listing = EndpointListing()
+
+    def apply_events(self, events: Sequence[Event]) -> None:
+        """Applies changes read from the store by a watch or a list."""
         for event in events:
             name = EndpointId(
-                event.key.removeprefix(store_schema.listing_prefix)
+                event.key.removeprefix(self._store_schema.listing_prefix)
             )
             if event.content is None:
-                log.info('endpoint_gone', extra={'endpoint': name})
-                listing.remove(name)
-                continue
-            decoded = store_schema.decode_entry(event.key, event.content)
-            if decoded.is_error():
-                cause = str(decoded.error)
-                log.warning('entry_unreadable', extra={'cause': cause})
-                listing.remove(name)
-            elif event.restored:
-                listing.restore(decoded.ok)
+                self._apply_removal(name, final=event.restored)
             else:
-                listing.add(decoded.ok)
-                _log_listed(decoded.ok)
-        view.update_endpoints(listing.listed)
+                self._apply_entry(name, event, event.content)
+        self._view.update_endpoints(self._listing.listed)
 
-    return Subscription(store_schema.listing_prefix, on_events)
+    def _apply_entry(
+        self, name: EndpointId, event: Event, content: bytes
+    ) -> None:
+        decoded = self._store_schema.decode_entry(event.key, content)
+        if decoded.is_error():
+            cause = str(decoded.error)
+            log.warning('entry_unreadable', extra={'cause': cause})
+            self._listing.remove(name)
+        elif event.restored:
+            self._listing.restore(decoded.ok)
+        else:
+            self._listing.add(decoded.ok)
+            _log_listed(decoded.ok)
+
+    def _apply_removal(self, name: EndpointId, *, final: bool) -> None:
+        lapse = None if final else self._listing.begin_lapse(name)
+        log.info(
+            'endpoint_gone',
+            extra={'endpoint': name, 'lapsed': lapse is not None},
+        )
+        if lapse is None:
+            self._listing.remove(name)
+        else:
+            loop = asyncio.get_running_loop()
+            loop.call_later(LAPSE_GRACE, self._end_lapse, lapse)
+
+    def _end_lapse(self, lapse: Lapse) -> None:
+        self._listing.end_lapse(lapse)
+        self._view.update_endpoints(self._listing.listed)
 
 
 def _log_listed(listed: ListedEndpoint) -> None:
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/fencing.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/fencing.py
@@ -8,7 +8,7 @@
 from contextlib import suppress
 from typing import Final
 
-from cowslipfork.ids import Term, VmId
+from cowslipfork.ids import EndpointId, Term, VmId
 from cowslipfork.store import StoreDown
 from cowslipfork_direct.clock import boot_time
 from cowslipfork_direct.endpoint_monitor import EndpointMonitor
@@ -99,28 +99,29 @@
 
         A node stops when it sees the takeover's record or when its leader
         lease expires. The leader lease is extended by renewals of the node's
-        store lease, which is ended here, and by confirmations of a majority
-        of endpoints, which is impossible once enough of them are held here.
+        store lease, which is ended here, and by confirmations of replicas. How
+        many it needs follows from the entries that it has read, which may not
+        be those that this node has read, so all of them are held here.
 
         Returns:
             Whether every node has stopped; false at the deadline.
         """
         while boot_time() < self._deadline:
-            fenced, all_stopped = await asyncio.gather(
+            held, all_stopped = await asyncio.gather(
                 self._hold_replicas(),
                 self._all_stopped(STOP_ACK_TIMEOUT),
             )
             if all_stopped:
                 return True
-            needed = len(self._group.endpoints) - self._group.majority + 1
-            if fenced >= needed and await self._let_leader_leases_expire():
+            not_held = self._replicas() - held
+            if held and not not_held and await self._let_leader_leases_expire():
                 return True
             log.warning(
                 'takeover_waits',
                 extra={
                     'group': self._group.name,
-                    'fenced': fenced,
-                    'enough': needed,
+                    'held': ','.join(sorted(held)),
+                    'not_held': ','.join(sorted(not_held)),
                 },
             )
             await asyncio.sleep(RETRY_INTERVAL)
@@ -202,25 +203,31 @@
         """
         return registered.era in {ONLY_ERA, self._context.eras.current}
 
-    async def _hold_replicas(self) -> int:
+    def _replicas(self) -> frozenset[EndpointId]:
+        """Endpoints that some node may let confirm the old primary."""
+        return self._group.countable_endpoints - {self._takeover.old}
+
+    async def _hold_replicas(self) -> frozenset[EndpointId]:
         """Holds all replicas and demotes the old primary if it answers.
 
         Returns:
-            Number of endpoints that receive nothing from the old primary.
+            Replicas that confirm no primary of an earlier term any more.
         """
-        old = self._takeover.old
         replicas = [
             endpoint
             for endpoint in self._group.reachable_endpoints
-            if endpoint.id != old
+            if endpoint.id != self._takeover.old
         ]
         term = self._fence_term()
-        held = await self._endpoint_monitor.control_all(replicas, _hold(term))
-        demoted = 0
+        statuses = await self._endpoint_monitor.control_all(
+            replicas, _hold(term)
+        )
         if self._old_primary_reachable():
-            demoted = int(await self._demote_old_primary())
-        return demoted + sum(
-            status is not None and status.held_term >= term for status in held
+            await self._demote_old_primary()
+        return frozenset(
+            endpoint.id
+            for endpoint, status in zip(replicas, statuses, strict=True)
+            if status is not None and status.held_term >= term
         )
 
     def _old_primary_reachable(self) -> bool:
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/primary_supervisor.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/primary_supervisor.py
@@ -171,16 +171,17 @@
     def _has_quorum(self, suspicion: Suspicion) -> bool:
         """Returns whether enough live nodes share a suspicion.
 
-        A majority of the nodes that watch over the group must have lost contact
-        with a primary before a failover. For a failing primary one in
-        ``FAILING_QUORUM_DIVISOR`` is enough, since a handover costs little and
-        only nodes that use the primary notice.
+        A majority of the electors must have lost contact with a primary before
+        a failover. For a failing primary one in ``FAILING_QUORUM_DIVISOR``
+        supervisors is enough, since a handover costs little and only nodes
+        that use the primary notice.
         """
         reported = self._context.takeover_cache.suspicions(self._group.name)
         agreeing = {
             node for node, other in reported.items() if other == suspicion
         } | {self._context.node}
         alive = self._supervisors
+        electors = self._context.electors(self._group.name)
         if suspicion.ill:
             recent = self._last_takeover_at + FAILING_COOLDOWN > boot_time()
             needed = min(
@@ -188,7 +189,7 @@
                 max(2, len(alive) // FAILING_QUORUM_DIVISOR),
             )
             return len(agreeing & alive) >= needed and not recent
-        return len(agreeing & alive) > len(alive) // 2
+        return len(agreeing & electors) > len(electors) // 2
 
     def _has_candidate(self) -> bool:
         return any(
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/suspicion_reporter.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/suspicion_reporter.py
@@ -66,9 +66,12 @@
         if last is None or self._group.leader is not None:
             return None
         endpoint = self._group.endpoints.get(last.endpoint)
-        if endpoint is not None and endpoint.unreachable_since is None:
-            return None
-        return Suspicion(last.endpoint, last.term)
+        lost = (
+            self._group.listing_settled
+            if endpoint is None
+            else endpoint.unreachable_since is not None
+        )
+        return Suspicion(last.endpoint, last.term) if lost else None
 
     def start_era(self) -> None:
         """Reports again what the store may have lost."""
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/takeover_context.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/takeover_context.py
@@ -32,6 +32,9 @@
         metrics: counts the steps.
         supervisors: returns the live nodes that watch over the primary of a
             group: all of them, or its carriers.
+        electors: returns the nodes of which a majority has to suspect a
+            primary: the supervisors, and nodes whose lease may have lapsed
+            though they live.
     """
 
     node: VmId
@@ -44,3 +47,4 @@
     promotions: Promotions
     metrics: Metrics
     supervisors: Callable[[GroupName], frozenset[VmId]]
+    electors: Callable[[GroupName], frozenset[VmId]]
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/view.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/view.py
@@ -8,6 +8,7 @@
 from operator import attrgetter
 
 from cowslipfork.ids import EndpointId, GroupName, Revision
+from cowslipfork_direct.clock import boot_time
 from cowslipfork_direct.endpoint import Endpoint
 from cowslipfork_direct.group import Group
 from cowslipfork_direct.link import Network
@@ -28,6 +29,7 @@
         relays: Callable[[], Sequence[Address]],
         metrics: Metrics,
         on_added: Callable[[Group | Endpoint], None],
+        listing_known_at: Callable[[], float] = boot_time,
     ) -> None:
         """Starts without groups, with an empty table of revision 0.
 
@@ -37,6 +39,8 @@
             metrics: metrics of this node.
             on_added: called with each new group and endpoint, so that its
                 background tasks can be started.
+            listing_known_at: returns the boot time up to which the endpoints'
+                entries are known.
         """
         self._table = RoutingTable(Revision(0))
         self._groups: dict[GroupName, Group] = {}
@@ -44,6 +48,7 @@
         self._relays = relays
         self._metrics = metrics
         self._on_added = on_added
+        self._listing_known_at = listing_known_at
         self._configured = asyncio.Event()
         self._listeners: list[Callable[[RoutingTable], None]] = []
 
@@ -100,6 +105,7 @@
                 self._network,
                 self._relays,
                 self._metrics.observe_leaderless,
+                listing_known_at=self._listing_known_at,
             )
             self._groups[name] = known
             self._on_added(known)
--- a/packages/cowslipfork-direct/tests/takeover/test_claims.py
+++ b/packages/cowslipfork-direct/tests/takeover/test_claims.py
@@ -152,6 +152,7 @@
             context = SimpleNamespace(
                 takeover_cache=takeover_cache,
                 supervisors=lambda _: frozenset(('n1', 'n2')),
+                electors=lambda _: frozenset(('n1', 'n2')),
                 settlement=SimpleNamespace(settled=True),
                 node='n1',
             )
