--- a/packages/cowslipfork-direct/src/cowslipfork_direct/fleet.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/fleet.py
@@ -64,6 +64,22 @@
         return NodeTraits(self.failure_domain, self.capacity)
 
 
+def decode_registered(content: bytes) -> Registered | None:
+    """Decodes a node's entry.
+
+    Args:
+        content: the stored bytes.
+
+    Returns:
+        The entry; None if it can't be read, which is logged.
+    """
+    try:
+        return msgspec.json.decode(content, type=Registered)
+    except msgspec.MsgspecError as error:
+        log.warning('node_unreadable', extra={'cause': str(error)})
+        return None
+
+
 def node_key(node: VmId) -> str:
     """Returns the key under which a node is registered."""
     return f'{NODES_PREFIX}{node}'
@@ -140,6 +156,10 @@
             if node in self._alive or self._gone_at.get(node, 0) > earliest
         }
 
+    def has_left(self, node: VmId, registered: Registered) -> bool:
+        """Returns whether the process that wrote an entry has removed it."""
+        return self._left.get(node) == registered.incarnation
+
     def relays(self, besides: VmId) -> list[Address]:
         """Returns the relays of the other nodes that are alive.
 
@@ -174,15 +194,10 @@
         self._on_change()
 
     def _register(self, node: VmId, event: Event) -> None:
-        try:
-            registered = msgspec.json.decode(
-                event.content or b'', type=Registered
-            )
-        except msgspec.MsgspecError as error:
-            cause = str(error)
-            log.warning('node_unreadable', extra={'cause': cause})
+        registered = decode_registered(event.content or b'')
+        if registered is None:
             return
-        if event.restored and self._left.get(node) == registered.incarnation:
+        if event.restored and self.has_left(node, registered):
             # The copy is from before this process ended.
             return
         self._registered[node] = registered
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/registration.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/registration.py
@@ -1,8 +1,11 @@
 """Registers this node in the store and renews its lease.
 
-A promotion ends the leases of all nodes and then waits until their leader
-leases have lapsed. A successful renewal therefore proves that no promotion
-unknown to this node has got beyond that wait.
+A promotion ends the leases of all registered nodes and then waits until their
+leader leases have lapsed. A successful renewal therefore proves that no
+promotion unknown to this node has got beyond that wait, as long as the node's
+entry names the lease that it renews. A write without an answer may take effect
+seconds later, so each write of the entry requires the entry that this process
+has read or written last.
 """
 
 from __future__ import annotations
@@ -10,7 +13,7 @@
 import asyncio
 import logging
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass
 from typing import Final
 
@@ -18,6 +21,7 @@
 
 from cowslipfork.ids import VmId
 from cowslipfork.store import (
+    Compare,
     LeaseId,
     LeasingStore,
     Put,
@@ -99,6 +103,8 @@
         self._traits = traits
         self._store_down = False
         self._lease: LeaseId | None = None
+        self._entry_revision: int | None = None
+        self._entry_seen = False
         self._incarnation = time.time_ns()
         self._withdrawn = asyncio.Event()
 
@@ -110,6 +116,7 @@
     def start_era(self) -> None:
         """Gives the lease up, which the store may have given to others."""
         self._lease = None
+        self._entry_revision = None
 
     def withdraw(self) -> None:
         """Has other nodes no longer count this one as alive.
@@ -144,7 +151,7 @@
         if lease is None:
             return
         try:
-            await self._store.swap((), (Put(node_key(self._node), None),))
+            await self._swap_entry((Put(node_key(self._node), None),))
             await self._store.end(lease)
         except StoreDown as error:
             log.info('deregistration_failed', extra={'cause': str(error)})
@@ -156,7 +163,10 @@
             begun_at = boot_time()
             renewed = await self._store.renew(self._lease)
             self._record_answer()
-            if renewed:
+            if renewed and self._entry_lost():
+                log.warning('registration_lost', extra={'lease': self._lease})
+                self._lease = None
+            elif renewed:
                 self._hooks.on_renewed(begun_at)
                 await self._correct_alive_key()
                 await asyncio.sleep(RENEWAL_INTERVAL)
@@ -178,18 +188,46 @@
                 self._traits.capacity,
             ),
         )
-        await self._store.swap(
-            (),
-            (
-                Put(node_key(self._node), entry),
-                self._alive_put(lease),
-            ),
-        )
+        if not await self._swap_entry(
+            (Put(node_key(self._node), entry), self._alive_put(lease))
+        ):
+            log.info('entry_changed', extra={'lease': lease})
+            return
         await self._hooks.load_takeovers()
         self._eras.ensure('register', era)
         self._lease = lease
+        self._entry_seen = False
         log.info('registered', extra={'lease': lease})
 
+    async def _swap_entry(self, puts: Sequence[Put]) -> bool:
+        """Writes or removes this node's entry unless it has changed.
+
+        Returns:
+            Whether it was written; if not, the next attempt reads it anew.
+
+        Raises:
+            StoreDown: the store did not answer; the write has no effect any
+                more once another attempt has succeeded.
+        """
+        key = node_key(self._node)
+        expected = self._entry_revision
+        if expected is None:
+            found = await self._store.get(key)
+            expected = found.revision if found else 0
+        self._entry_revision = None
+        swapped = await self._store.swap((Compare(key, expected),), puts)
+        if swapped.succeeded:
+            self._entry_revision = swapped.revision
+        return swapped.succeeded
+
+    def _entry_lost(self) -> bool:
+        """Returns whether this node's entry was removed or replaced."""
+        registered = self._fleet.registered.get(self._node)
+        if registered is not None and registered.lease == self._lease:
+            self._entry_seen = True
+            return False
+        return self._entry_seen
+
     def _record_answer(self) -> None:
         if self._store_down:
             self._store_down = False
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/fencing.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/fencing.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import logging
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from contextlib import suppress
 from typing import Final
 
@@ -12,7 +12,11 @@
 from cowslipfork.store import StoreDown
 from cowslipfork_direct.clock import boot_time
 from cowslipfork_direct.endpoint_monitor import EndpointMonitor
-from cowslipfork_direct.fleet import Registered
+from cowslipfork_direct.fleet import (
+    NODES_PREFIX,
+    Registered,
+    decode_registered,
+)
 from cowslipfork_direct.group import Group
 from cowslipfork_direct.leader_lease import (
     CONFIRMATION_VALIDITY,
@@ -60,6 +64,7 @@
         self._endpoint_monitor = endpoint_monitor
         self._takeover = takeover
         self._deadline = deadline
+        self._registered: Mapping[VmId, Registered] = {}
 
     async def stop_old_primary(self) -> bool:
         """Ensures that no node acknowledges work of the old primary any more.
@@ -67,11 +72,44 @@
         Returns:
             Whether that is certain; false if the deadline passed before.
         """
+        if not await self._read_registered():
+            return False
         handover = self._takeover.kind is TakeoverKind.HANDOVER
         if handover and await self._stop_reachable_primary():
             return True
         return await self._fence_until_stopped()
 
+    async def _read_registered(self) -> bool:
+        """Reads which nodes may use the old primary.
+
+        The copy that a watch keeps may be seconds old. A node that registers
+        after this has read the takeover, which is claimed already, before its
+        lease proves anything.
+
+        Returns:
+            Whether they were read before the deadline.
+        """
+        while boot_time() < self._deadline:
+            try:
+                entries, _ = await self._context.store.list_prefix(NODES_PREFIX)
+            except StoreDown as error:
+                log.info('nodes_not_read', extra={'cause': str(error)})
+                await asyncio.sleep(RETRY_INTERVAL)
+                continue
+            decoded = {
+                VmId(entry.key.removeprefix(NODES_PREFIX)): decode_registered(
+                    entry.content
+                )
+                for entry in entries
+            }
+            self._registered = {
+                node: registered
+                for node, registered in decoded.items()
+                if registered is not None
+            }
+            return True
+        return False
+
     async def _stop_reachable_primary(self) -> bool:
         """Waits until every node has stopped, or demotes the old primary.
 
@@ -149,7 +187,12 @@
 
     def _not_stopped(self) -> frozenset[VmId]:
         stopped = self._context.takeover_cache.stopped(self._takeover)
-        return frozenset(self._context.fleet.registered) - stopped
+        return frozenset(
+            node
+            for node, registered in self._registered.items()
+            if node not in stopped
+            and not self._context.fleet.has_left(node, registered)
+        )
 
     async def _let_leader_leases_expire(self) -> bool:
         """Waits until nodes without an acknowledgement must have stopped.
@@ -182,11 +225,10 @@
             lease that expired was last renewed long ago; one that another
             takeover ended may have been renewed a moment ago.
         """
-        registered = self._context.fleet.registered
         ended = [
-            await self._context.store.end(registered[node].lease)
+            await self._context.store.end(self._registered[node].lease)
             for node in nodes
-            if self._may_be_renewed(registered[node])
+            if self._may_be_renewed(self._registered[node])
         ]
         others = self._context.takeover_cache.has_update_within(
             RENEWAL_VALIDITY,
