--- a/packages/cowslipfork-direct/src/cowslipfork_direct/group.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/group.py
@@ -22,7 +22,7 @@
     RENEWAL_VALIDITY,
     LeaderLease,
 )
-from cowslipfork_direct.link import EndpointStatus, Network
+from cowslipfork_direct.link import EndpointRole, EndpointStatus, Network
 from cowslipfork_direct.link_quota import LinkQuota
 from cowslipfork_direct.listing import LAPSE_GRACE, ListedEndpoint
 from cowslipfork_direct.mark_history import MarkHistory
@@ -134,6 +134,28 @@
         """Primary that was last known, reachable or not."""
         return self._last_leader
 
+    @property
+    def only_replicas(self) -> bool:
+        """Whether all reachable endpoints, at least one, are replicas."""
+        observed = [
+            self._observed_statuses.get(endpoint.id)
+            for endpoint in self.reachable_endpoints
+        ]
+        return bool(observed) and all(
+            one is not None and one.status.role is EndpointRole.REPLICA
+            for one in observed
+        )
+
+    @property
+    def listed_primary(self) -> EndpointId | None:
+        """Endpoint whose entry says that it is the primary, if it is one."""
+        primaries = [
+            endpoint.id
+            for endpoint in self._endpoints.values()
+            if endpoint.listed.role is EndpointRole.PRIMARY
+        ]
+        return primaries[0] if len(primaries) == 1 else None
+
     @property
     def highest_term(self) -> Term:
         """Highest term that an endpoint reported or the last primary had."""
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/primary_supervisor.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/primary_supervisor.py
@@ -178,7 +178,9 @@
         """
         reported = self._context.takeover_cache.suspicions(self._group.name)
         agreeing = {
-            node for node, other in reported.items() if other == suspicion
+            node
+            for node, other in reported.items()
+            if suspicion.agrees_with(other)
         } | {self._context.node}
         alive = self._supervisors
         electors = self._context.electors(self._group.name)
@@ -232,7 +234,9 @@
         if last is not None:
             return last.endpoint
         cached = self._context.takeover_cache.takeover(self._group.name)
-        return cached.takeover.old if cached else None
+        if cached is not None and cached.takeover.old is not None:
+            return cached.takeover.old
+        return self._group.listed_primary
 
     async def _carry_out(self, claim: Claim) -> None:
         begun = boot_time()
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/records.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/records.py
@@ -144,16 +144,27 @@
     """A node's report that it can't use a primary.
 
     Attributes:
-        endpoint: the primary.
+        endpoint: the primary; None if the node has not seen any since its
+            start and finds only replicas.
         term: its term.
         ill: whether the primary can be reached but fails; otherwise it can't
             be reached.
     """
 
-    endpoint: EndpointId
+    endpoint: EndpointId | None
     term: Term
     ill: bool = False
 
+    def agrees_with(self, other: Suspicion) -> bool:
+        """Returns whether two nodes mean the same primary.
+
+        A node that was started after the primary was lost can't name it.
+        """
+        unnamed = self.endpoint is None or other.endpoint is None
+        named_alike = unnamed or self.endpoint == other.endpoint
+        alike = self.term == other.term and self.ill is other.ill
+        return named_alike and alike
+
 
 class RecordUnreadable(CowslipforkError):
     """A record that can't be decoded: of another writer or version."""
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/suspicion_reporter.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/suspicion_reporter.py
@@ -63,8 +63,10 @@
         if failing is not None:
             return Suspicion(failing.endpoint, failing.term, ill=True)
         last = self._group.last_leader
-        if last is None or self._group.leader is not None:
+        if self._group.leader is not None:
             return None
+        if last is None:
+            return self._missing_primary()
         endpoint = self._group.endpoints.get(last.endpoint)
         lost = (
             self._group.listing_settled
@@ -73,6 +75,16 @@
         )
         return Suspicion(last.endpoint, last.term) if lost else None
 
+    def _missing_primary(self) -> Suspicion | None:
+        """Returns a suspicion if there is no primary to be seen.
+
+        A primary that was lost before this process has started is named by
+        nobody if all other processes were started again as well.
+        """
+        if not self._group.listing_settled or not self._group.only_replicas:
+            return None
+        return Suspicion(None, self._group.highest_term)
+
     def start_era(self) -> None:
         """Reports again what the store may have lost."""
         self._reported = None
