--- a/packages/cowslipfork-direct/src/cowslipfork_direct/attempt.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/attempt.py
@@ -12,6 +12,7 @@
 from cowslipfork_direct.checkout import Checkout
 from cowslipfork_direct.clock import boot_time
 from cowslipfork_direct.commands import Execute, Run
+from cowslipfork_direct.leader_lease import LeaseNeed
 from cowslipfork_direct.link import (
     NOT_RUN,
     EndpointReply,
@@ -135,6 +136,8 @@
             if minimum_mark is not None:
                 checkout.endpoint.note_served()
         if leader is not None:
+            if self._served.writes and reply.code is ReplyCode.DONE:
+                self._group.note_leading(leader, begun)
             self._group.note_mark(leader, begun, reply.mark)
         return await self._evaluate_reply(checkout.endpoint.id, reply, leader)
 
@@ -186,7 +189,7 @@
         endpoint_monitor = self._served.service.endpoint_monitor
         endpoint_monitor.request_lease_renewal()
         return await endpoint_monitor.lease_available(
-            leader, self._lease_needed_at()
+            leader, self._lease_need()
         )
 
     async def _confirmed(self, leader: Leader) -> bool:
@@ -194,20 +197,20 @@
         endpoint_monitor = self._served.service.endpoint_monitor
         return await endpoint_monitor.wait_for_lease(
             leader,
-            self._lease_needed_at(),
+            self._lease_need(),
             self._served.deadline,
         )
 
-    def _lease_needed_at(self) -> float:
-        """Boot time up to which no other primary may have existed.
+    def _lease_need(self) -> LeaseNeed:
+        """Returns what must be proved of the primary.
 
-        This is now for a write or a fresh read; otherwise the oldest time of
-        which the read may show the data.
+        For a write this is that it leads now; for a read, that it led at the
+        oldest time of which the read may show the data.
         """
         served = self._served
-        if served.max_age is None:
-            return boot_time()
-        return served.arrived - served.max_age
+        if served.writes:
+            return LeaseNeed.of_write(boot_time())
+        return LeaseNeed.of_read(served.arrived - (served.max_age or 0))
 
 
 def _not_sent(
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/endpoint_monitor.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/endpoint_monitor.py
@@ -14,6 +14,7 @@
 from cowslipfork_direct.clock import boot_time
 from cowslipfork_direct.endpoint import Endpoint
 from cowslipfork_direct.group import Group
+from cowslipfork_direct.leader_lease import LeaseNeed
 from cowslipfork_direct.link import EndpointStatus, Link, LinkLost
 from cowslipfork_direct.observed_statuses import Leader
 from cowslipfork_direct.pool_policy import Wanted
@@ -60,6 +61,8 @@
         self._renewal_requested = asyncio.Event()
         self._sample_requested = asyncio.Event()
         self._no_wait_until: float = 0
+        self._word_needed: LeaseNeed | None = None
+        self._waiting_for_lease = 0
 
     def request_lease_renewal(self) -> None:
         """Requests a renewal of the leader lease if it is due."""
@@ -82,54 +85,66 @@
     async def wait_for_lease(
         self,
         leader: Leader,
-        moment: float,
+        need: LeaseNeed,
         until: float,
     ) -> bool:
-        """Waits until the leader lease covers a moment.
+        """Waits until the leader lease satisfies a need.
 
         Args:
             leader: the primary that answered.
-            moment: boot time at which it must have been the only primary.
+            need: what must be proved, in boot time.
             until: loop time at which the wait ends.
 
         Returns:
-            Whether the lease covers it; False as soon as the primary changes.
+            Whether it is proved; False as soon as the primary changes.
         """
+        self._waiting_for_lease += 1
+        try:
+            async with asyncio.timeout_at(until):
+                return await self._await_proof(leader, need)
+        except TimeoutError:
+            return False
+        finally:
+            self._waiting_for_lease -= 1
+
+    async def _await_proof(self, leader: Leader, need: LeaseNeed) -> bool:
         group = self._group
         while group.leader == leader:
-            if group.leader_lease.covers(moment):
+            if group.leader_lease.satisfies(need):
                 return True
-            self._renewal_requested.set()
             change_event = group.change_event
-            try:
-                async with asyncio.timeout_at(until):
-                    await change_event.wait()
-            except TimeoutError:
-                return False
+            self._request_proof(need)
+            await change_event.wait()
         return False
 
-    async def lease_available(self, leader: Leader, moment: float) -> bool:
-        """Returns whether the leader lease soon covers a moment.
+    def _request_proof(self, need: LeaseNeed) -> None:
+        """Requests a renewal of the lease and a missing word of the primary."""
+        if self._group.leader_lease.needs_word(need):
+            self._word_needed = need
+        self._renewal_requested.set()
+
+    async def lease_available(self, leader: Leader, need: LeaseNeed) -> bool:
+        """Returns whether the leader lease soon satisfies a need.
 
         Without the lease, the results of work at the primary can't be used.
 
         Args:
             leader: the primary.
-            moment: boot time at which it must be the only primary.
+            need: what must be proved, in boot time.
 
         Returns:
-            Whether the lease covers it, perhaps after a short wait. There is
-            no wait if another one timed out a moment ago.
+            Whether it is proved, perhaps after a short wait. There is no wait
+            if another one timed out a moment ago.
         """
-        if self._group.leader == leader and self._group.leader_lease.covers(
-            moment,
+        if self._group.leader == leader and self._group.leader_lease.satisfies(
+            need
         ):
             return True
         now = boot_time()
         if now < self._no_wait_until:
             return False
         until = asyncio.get_running_loop().time() + LEASE_WAIT
-        if await self.wait_for_lease(leader, moment, until):
+        if await self.wait_for_lease(leader, need, until):
             return True
         self._no_wait_until = boot_time() + NO_LEASE_PAUSE
         return False
@@ -254,21 +269,40 @@
         while True:
             await self._renewal_requested.wait()
             self._renewal_requested.clear()
-            if (
-                self._group.leader_lease.renewal_due
-                and self._group.leader is not None
-            ):
-                await self._extend_lease()
+            if self._group.leader is None or not self._proof_missing:
+                continue
+            await asyncio.gather(self._extend_lease(), self._ask_leader())
+            if self._proof_missing:
+                log.warning(
+                    'leader_not_proved', extra={'group': self._group.name}
+                )
+                await asyncio.sleep(INSPECT_PAUSE)
+                if self._waiting_for_lease:
+                    self._renewal_requested.set()
+
+    @property
+    def _proof_missing(self) -> bool:
+        return self._group.leader_lease.renewal_due or self._word_missing
+
+    @property
+    def _word_missing(self) -> bool:
+        """Whether a statement waits for the primary's word that it leads."""
+        need = self._word_needed
+        return need is not None and self._group.leader_lease.needs_word(need)
 
     async def _extend_lease(self) -> None:
         needed = self._group.confirmations_needed
         replicas = self._replicas()
-        await self._inspect_all(replicas[:needed])
         if self._group.leader_lease.renewal_due:
-            await self._inspect_all(replicas[needed:])
+            await self._inspect_all(replicas[:needed])
         if self._group.leader_lease.renewal_due:
-            log.warning('leader_not_proved', extra={'group': self._group.name})
-            await asyncio.sleep(INSPECT_PAUSE)
+            await self._inspect_all(replicas[needed:])
+
+    async def _ask_leader(self) -> None:
+        leader = self._group.leader
+        endpoint = leader and self._group.endpoints.get(leader.endpoint)
+        if endpoint and self._word_missing:
+            await self.inspect(endpoint)
 
     async def _inspect_all(self, endpoints: Iterable[Endpoint]) -> None:
         await asyncio.gather(*map(self.inspect, endpoints))
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/group.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/group.py
@@ -302,6 +302,7 @@
         self._extend_leader_lease()
         leader = self.leader_at(endpoint)
         if leader is not None:
+            self.note_leading(leader, begun)
             self.note_mark(leader, begun, status.received)
         self._notify_change()
 
@@ -320,8 +321,7 @@
             begun: boot time just before the renewal in the store.
         """
         self._lease_renewed_at = begun
-        if self._leader is not None:
-            self.leader_lease.extend(begun, RENEWAL_VALIDITY)
+        self._extend_lease_by_renewal()
 
     def max_wait_until(self) -> float:
         """Loop time up to which it makes sense to wait for a primary.
@@ -370,6 +370,18 @@
         for endpoint in self._observed_statuses.endpoints:
             self.forget(endpoint)
 
+    def note_leading(self, leader: Leader, begun: float) -> None:
+        """Notes that a primary has shown that it leads its term.
+
+        Its status shows it, and so does work that a replica refuses.
+
+        Args:
+            leader: the primary that answered.
+            begun: boot time just before the request.
+        """
+        if self._leader == leader:
+            self.leader_lease.note_leading(begun)
+
     def note_mark(
         self,
         leader: Leader,
@@ -463,9 +475,7 @@
             self._report_gap(self.name, loop_time - self._leaderless_since)
         self._leaderless_since = loop_time
         self.leader_lease.revoke()
-        if leader is not None:
-            # A promotion after this one would first have ended the lease.
-            self.leader_lease.extend(self._lease_renewed_at, RENEWAL_VALIDITY)
+        self._extend_lease_by_renewal()
         log.warning(
             'leader_changed',
             extra={
@@ -476,8 +486,18 @@
         )
         self.queue.serve_waiters()
 
+    def _extend_lease_by_renewal(self) -> None:
+        """Extends the leader lease from the last renewal in the store.
+
+        A promotion after the present one would first have ended the store's
+        lease. That proves nothing about a takeover that this node knows of and
+        has not acknowledged yet, as while it lets open work end.
+        """
+        if self._leader is not None and not self._paused:
+            self.leader_lease.extend(self._lease_renewed_at, RENEWAL_VALIDITY)
+
     def _extend_leader_lease(self) -> None:
-        """Extends the leader lease if a majority has seen no promotion."""
+        """Extends the leader lease if enough replicas saw no promotion."""
         leader = self._leader
         if leader is None:
             return
@@ -485,7 +505,7 @@
         needed = self.confirmations_needed
         if needed <= len(confirmed):
             begun = confirmed[needed - 1]
-            self.leader_lease.extend(begun, CONFIRMATION_VALIDITY)
+            self.leader_lease.confirm(begun, CONFIRMATION_VALIDITY)
 
     def _notify_change(self) -> None:
         changed = self._changed
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/node.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/node.py
@@ -143,6 +143,7 @@
             self._metrics,
             self._placement.supervisors,
             self._placement.electors,
+            self._load_takeovers,
         )
         self._registration = Registration(
             identity.name,
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/fencing.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/fencing.py
@@ -116,6 +116,10 @@
         No replica is held meanwhile: it would not receive what nodes that have
         not stopped yet still commit.
 
+        A demoted primary refuses writes and says that it does not lead. It
+        still serves reads, which nodes accept while what the last renewal of
+        their store lease proved is valid.
+
         Returns:
             Whether the use of the old primary has ended; false if it became
             unreachable or the deadline passed before.
@@ -124,7 +128,12 @@
         while boot_time() < self._deadline:
             if await self._all_stopped(timeout):
                 return True
-            if await self._demote_old_primary():
+            if (
+                await self._demote_old_primary()
+                and await self._let_leader_leases_expire(
+                    confirmation_validity=0
+                )
+            ):
                 return True
             if not self._old_primary_reachable():
                 return False
@@ -137,31 +146,25 @@
 
         A node stops when it sees the takeover's record or when its leader
         lease expires. The leader lease is extended by renewals of the node's
-        store lease, which is ended here, and by confirmations of replicas. How
-        many it needs follows from the entries that it has read, which may not
-        be those that this node has read, so all of them are held here.
+        store lease, which is ended here, and by confirmations of the primary
+        and of replicas. How many replicas it needs follows from the entries
+        that it has read, which may not be those that this node has read, so
+        either the primary is demoted or all replicas are held.
 
         Returns:
             Whether every node has stopped; false at the deadline.
         """
         while boot_time() < self._deadline:
-            held, all_stopped = await asyncio.gather(
-                self._hold_replicas(),
+            confirmation_impossible, all_stopped = await asyncio.gather(
+                self._prevent_confirmation(),
                 self._all_stopped(STOP_ACK_TIMEOUT),
             )
             if all_stopped:
                 return True
-            not_held = self._replicas() - held
-            if held and not not_held and await self._let_leader_leases_expire():
+            if confirmation_impossible and await self._let_leader_leases_expire(
+                CONFIRMATION_VALIDITY
+            ):
                 return True
-            log.warning(
-                'takeover_waits',
-                extra={
-                    'group': self._group.name,
-                    'held': ','.join(sorted(held)),
-                    'not_held': ','.join(sorted(not_held)),
-                },
-            )
             await asyncio.sleep(RETRY_INTERVAL)
         return False
 
@@ -173,17 +176,20 @@
             well, but are not waited for. If the store has ever lost records,
             a node that still serves may be missing from the list.
         """
-        with suppress(TimeoutError):
-            async with asyncio.timeout(timeout):
-                await self._wait_until_live_nodes_stopped()
+        await self._wait_until_stopped(self._context.fleet.alive, timeout)
         complete = self._context.settlement.records_complete
         return complete and not self._not_stopped()
 
-    async def _wait_until_live_nodes_stopped(self) -> None:
+    async def _wait_until_stopped(
+        self, nodes: frozenset[VmId], timeout: float
+    ) -> None:
+        """Waits until nodes have acknowledged, or for a time-out."""
         change_event = self._context.takeover_cache.change_event
-        while self._not_stopped() & self._context.fleet.alive:
-            await change_event.wait()
-            change_event = self._context.takeover_cache.change_event
+        with suppress(TimeoutError):
+            async with asyncio.timeout(timeout):
+                while self._not_stopped() & nodes:
+                    await change_event.wait()
+                    change_event = self._context.takeover_cache.change_event
 
     def _not_stopped(self) -> frozenset[VmId]:
         stopped = self._context.takeover_cache.stopped(self._takeover)
@@ -194,15 +200,21 @@
             and not self._context.fleet.has_left(node, registered)
         )
 
-    async def _let_leader_leases_expire(self) -> bool:
+    async def _let_leader_leases_expire(
+        self, confirmation_validity: float
+    ) -> bool:
         """Waits until nodes without an acknowledgement must have stopped.
 
+        Args:
+            confirmation_validity: seconds for which their leader leases may be
+                valid without a renewal of their store leases.
+
         Returns:
             Whether they have; false if the store did not end their leases.
         """
         unacknowledged = self._not_stopped()
         try:
-            validity = await self._end_leases(unacknowledged)
+            renewed = await self._end_leases(unacknowledged)
         except StoreDown as error:
             log.warning('lease_not_ended', extra={'cause': str(error)})
             return False
@@ -211,32 +223,41 @@
             extra={
                 'group': self._group.name,
                 'nodes': ','.join(sorted(unacknowledged)),
-                'wait': validity,
+                'renewed': ','.join(sorted(renewed)),
+                'wait': RENEWAL_VALIDITY if renewed else confirmation_validity,
             },
         )
-        await asyncio.sleep(validity)
+        await asyncio.gather(
+            asyncio.sleep(confirmation_validity),
+            self._wait_until_stopped(renewed, RENEWAL_VALIDITY),
+        )
         return True
 
-    async def _end_leases(self, nodes: frozenset[VmId]) -> float:
+    async def _end_leases(self, nodes: frozenset[VmId]) -> frozenset[VmId]:
         """Ends the store leases of nodes.
 
         Returns:
-            Seconds for which their leader leases may still be valid. A store
-            lease that expired was last renewed long ago; one that another
-            takeover ended may have been renewed a moment ago.
+            Nodes whose leases may have been renewed a moment ago. One that had
+            expired was last renewed long ago, unless another takeover has
+            ended it.
         """
-        ended = [
-            await self._context.store.end(self._registered[node].lease)
+        renewable = [
+            node
             for node in nodes
             if self._may_be_renewed(self._registered[node])
         ]
-        others = self._context.takeover_cache.has_update_within(
+        ended = [
+            node
+            for node in renewable
+            if await self._context.store.end(self._registered[node].lease)
+        ]
+        if len(ended) < len(renewable):
+            await self._context.load_takeovers()
+        others = self._context.takeover_cache.has_activity_within(
             RENEWAL_VALIDITY,
             excluding=self._group.name,
         )
-        return (
-            RENEWAL_VALIDITY if others or any(ended) else CONFIRMATION_VALIDITY
-        )
+        return frozenset(renewable if others else ended)
 
     def _may_be_renewed(self, registered: Registered) -> bool:
         """Returns whether a node's lease is of the store's present era.
@@ -249,9 +270,34 @@
         """Endpoints that some node may let confirm the old primary."""
         return self._group.countable_endpoints - {self._takeover.old}
 
-    async def _hold_replicas(self) -> frozenset[EndpointId]:
+    async def _prevent_confirmation(self) -> bool:
         """Holds all replicas and demotes the old primary if it answers.
 
+        Returns:
+            Whether no node can get the old primary confirmed any more.
+        """
+        held = await self._hold_replicas()
+        replicas = self._replicas()
+        not_held = replicas - held
+        demoted = (
+            self._old_primary_reachable() and await self._demote_old_primary()
+        )
+        if demoted or (held and not not_held):
+            return True
+        log.warning(
+            'takeover_waits',
+            extra={
+                'group': self._group.name,
+                'fenced': len(held),
+                'enough': len(replicas),
+                'not_held': ','.join(sorted(not_held)),
+            },
+        )
+        return False
+
+    async def _hold_replicas(self) -> frozenset[EndpointId]:
+        """Holds all reachable replicas.
+
         Returns:
             Replicas that confirm no primary of an earlier term any more.
         """
@@ -264,8 +310,6 @@
         statuses = await self._endpoint_monitor.control_all(
             replicas, _hold(term)
         )
-        if self._old_primary_reachable():
-            await self._demote_old_primary()
         return frozenset(
             endpoint.id
             for endpoint, status in zip(replicas, statuses, strict=True)
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/takeover_cache.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/takeover_cache.py
@@ -89,21 +89,21 @@
         """Returns the last takeover of a group; None if there was none."""
         return self._takeovers.get(group)
 
-    def has_update_within(
+    def has_activity_within(
         self,
         seconds: float,
         *,
         excluding: GroupName,
     ) -> bool:
-        """Returns whether a takeover of another group changed recently.
+        """Returns whether a takeover of another group is or was under way.
 
         Args:
-            seconds: greatest age of the change.
+            seconds: greatest age of its end.
             excluding: group whose takeover does not count.
         """
         oldest = boot_time() - seconds
         return any(
-            cached.seen_at >= oldest
+            cached.takeover.under_way or cached.seen_at >= oldest
             for group, cached in self._takeovers.items()
             if group != excluding
         )
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/takeover_context.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/takeover_context.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
 from cowslipfork.ids import GroupName, VmId
@@ -35,6 +35,7 @@
         electors: returns the nodes of which a majority has to suspect a
             primary: the supervisors, and nodes whose lease may have lapsed
             though they live.
+        load_takeovers: reads all takeovers from the store.
     """
 
     node: VmId
@@ -48,3 +49,4 @@
     metrics: Metrics
     supervisors: Callable[[GroupName], frozenset[VmId]]
     electors: Callable[[GroupName], frozenset[VmId]]
+    load_takeovers: Callable[[], Awaitable[None]]
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/transaction.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/transaction.py
@@ -20,6 +20,7 @@
     Rollback,
     Run,
 )
+from cowslipfork_direct.leader_lease import LeaseNeed
 from cowslipfork_direct.link import (
     NOT_RUN,
     EndpointReply,
@@ -176,6 +177,8 @@
             return _connection_lost(served, error)
         self._may_have_run |= reply.code not in NOT_RUN
         if leader is not None:
+            if reply.code is ReplyCode.DONE and self._shows_lead(served):
+                served.service.group.note_leading(leader, asked_at)
             served.service.group.note_mark(leader, asked_at, reply.mark)
         return await self._evaluate_reply(begun, served, reply)
 
@@ -230,7 +233,7 @@
             return True
         return await served.service.endpoint_monitor.lease_available(
             begun.leader,
-            _lease_needed_at(begun, served),
+            self._lease_need(begun, served),
         )
 
     async def _confirmed(
@@ -241,10 +244,32 @@
             return True
         return await served.service.endpoint_monitor.wait_for_lease(
             begun.leader,
-            _lease_needed_at(begun, served),
+            self._lease_need(begun, served),
             served.deadline,
         )
 
+    def _shows_lead(self, served: ServedStatement) -> bool:
+        """Returns whether a replica would have refused a statement.
+
+        It doesn't refuse the commit of a transaction that wrote nothing.
+        """
+        committing = served.statement.verb is Verb.COMMIT
+        return not self._read_only and not committing
+
+    def _lease_need(
+        self, begun: BegunTransaction, served: ServedStatement
+    ) -> LeaseNeed:
+        """Returns what must be proved of the primary.
+
+        For a commit this is that it leads now, for a read that it led at the
+        start of the transaction. A transaction that may write is refused by a
+        primary that does not lead any more.
+        """
+        if self._read_only:
+            return LeaseNeed.of_read(begun.begun_at)
+        committing = served.statement.verb is Verb.COMMIT
+        return LeaseNeed.of_write(boot_time() if committing else begun.begun_at)
+
     async def _begin(
         self,
         served: ServedStatement,
@@ -361,15 +386,6 @@
     )
 
 
-def _lease_needed_at(begun: BegunTransaction, served: ServedStatement) -> float:
-    """Returns the boot time up to which no other primary may have existed.
-
-    For a commit this is now, for a read the start of the transaction.
-    """
-    committing = served.statement.verb is Verb.COMMIT
-    return boot_time() if committing else begun.begun_at
-
-
 def _connection_lost(served: ServedStatement, error: LinkLost) -> DirectOutcome:
     """Returns the outcome after a connection broke in a transaction.
 
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/direct_table.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/direct_table.py
@@ -33,17 +33,24 @@
         _MECHANISMS,
     ),
     Mutant(
-        'direct: a promotion needs a fenced majority',
+        'direct: a failover needs a demoted primary or all replicas held',
         _DIRECT / 'takeover/fencing.py',
-        'if fenced >= needed and await self._let_leader_leases_expire():',
-        'if await self._let_leader_leases_expire():',
+        'if demoted or (held and not not_held):',
+        'if demoted or held:',
         _MECHANISMS,
     ),
     Mutant(
         'direct: a promotion waits until leader leases have expired',
         _DIRECT / 'takeover/fencing.py',
-        '        await asyncio.sleep(validity)\n',
+        '            self._wait_until_stopped(renewed, RENEWAL_VALIDITY),\n',
         '',
+        f'{_TAKEOVER}/test_demoted_primary.py',
+    ),
+    Mutant(
+        'direct: a failover waits until confirmations have expired',
+        _DIRECT / 'takeover/fencing.py',
+        '            asyncio.sleep(confirmation_validity),\n',
+        '            asyncio.sleep(0),\n',
         _MECHANISMS,
     ),
     Mutant(
@@ -63,7 +70,7 @@
     Mutant(
         'direct: takeovers are loaded before a renewal proves',
         _DIRECT / 'registration.py',
-        '        await self._load_takeovers()\n',
+        '        await self._hooks.load_takeovers()\n',
         '',
         _MECHANISMS,
     ),
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/takeover_table.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/takeover_table.py
@@ -1,4 +1,4 @@
-"""Mutants of takeovers from a primary that still works."""
+"""Mutants of what a takeover relies on."""
 
 from __future__ import annotations
 
@@ -12,6 +12,10 @@
 )
 _TESTS: Final = 'packages/cowslipfork-direct/tests/takeover'
 _LOST_WRITES: Final = f'{_TESTS}/test_lost_writes.py'
+_OUTAGE: Final = f'{_TESTS}/test_store_outage.py'
+_LOST_PROCESSES: Final = f'{_TESTS}/test_lost_processes.py'
+_DEMOTED: Final = f'{_TESTS}/test_demoted_primary.py'
+_DIRECT: Final = _TAKEOVER.parent
 
 TAKEOVER_MUTANTS: Final = (
     Mutant(
@@ -24,8 +28,8 @@
     Mutant(
         'direct: the primary of a resumed takeover is read from its record',
         _TAKEOVER / 'primary_supervisor.py',
-        'return cached.takeover.old if cached else None',
-        'return None',
+        'if cached is not None and cached.takeover.old is not None:',
+        'if cached is not None and cached.takeover.old is cached:',
         _LOST_WRITES,
     ),
     Mutant(
@@ -63,4 +67,91 @@
         'return None',
         _LOST_WRITES,
     ),
+    Mutant(
+        'direct: an entry that has lapsed counts for a while',
+        _DIRECT / 'listing.py',
+        'if known is None or known.leaving:',
+        'if known is None or known.endpoint:',
+        _OUTAGE,
+    ),
+    Mutant(
+        'direct: a list that was just read proves no absence',
+        _TAKEOVER / 'suspicion_reporter.py',
+        'self._group.listing_settled\n            if endpoint is None',
+        'endpoint is None\n            if endpoint is None',
+        _OUTAGE,
+    ),
+    Mutant(
+        'direct: nodes whose lease has lapsed count for a majority',
+        _DIRECT / 'placement.py',
+        'return self.supervisors(group) | self._fleet.possibly_alive',
+        'return self.supervisors(group)',
+        _OUTAGE,
+    ),
+    Mutant(
+        'direct: a fence includes replicas that are not listed any more',
+        _DIRECT / 'group.py',
+        'return self._departed.countable.union(self._endpoints)',
+        'return frozenset(self._endpoints)',
+        _OUTAGE,
+    ),
+    Mutant(
+        'direct: an entry of a node is written under a condition',
+        _DIRECT / 'registration.py',
+        'self._store.swap((Compare(key, expected),), puts)',
+        'self._store.swap((), puts)',
+        'packages/cowslipfork-direct/tests/test_registration.py',
+    ),
+    Mutant(
+        'direct: a node without its entry registers again',
+        _DIRECT / 'registration.py',
+        'if renewed and self._entry_lost():',
+        'if renewed and not self._node:',
+        'packages/cowslipfork-direct/tests/test_registration.py',
+    ),
+    Mutant(
+        'direct: a takeover reads the registered nodes after its claim',
+        _TAKEOVER / 'fencing.py',
+        'self._registered = {\n                node: registered',
+        'self._registered = self._context.fleet.registered or {\n'
+        '                node: registered',
+        f'{_TESTS}/test_unknown_nodes.py',
+    ),
+    Mutant(
+        'direct: a node that has seen no primary suspects that it is lost',
+        _TAKEOVER / 'suspicion_reporter.py',
+        'return self._missing_primary()',
+        'return None',
+        _LOST_PROCESSES,
+    ),
+    Mutant(
+        'direct: a suspicion without a name agrees with one that has it',
+        _TAKEOVER / 'records.py',
+        'unnamed = self.endpoint is None or other.endpoint is None',
+        'unnamed = self is other',
+        _LOST_PROCESSES,
+    ),
+    Mutant(
+        'direct: a fresh read needs the word of the primary itself',
+        _DIRECT / 'leader_lease.py',
+        'return not renewed and need.leading_at > self._leading_at',
+        'return not renewed and need.leading_at > math.inf',
+        _DEMOTED,
+    ),
+    Mutant(
+        'direct: a handover ends the leases of nodes that have not stopped',
+        _TAKEOVER / 'fencing.py',
+        'and await self._let_leader_leases_expire(\n'
+        '                    confirmation_validity=0\n'
+        '                )',
+        'and self._deadline',
+        _DEMOTED,
+    ),
+    Mutant(
+        'direct: a renewal proves nothing while a node stops its work',
+        _DIRECT / 'group.py',
+        'if self._leader is not None and not self._paused:',
+        'if self._leader is not None:',
+        _DEMOTED,
+    ),
 )
