--- a/packages/cowslipfork-direct/src/cowslipfork_direct/node.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/node.py
@@ -144,6 +144,7 @@
             self._placement.supervisors,
             self._placement.electors,
             self._load_takeovers,
+            self._view.synchronous_replicas,
         )
         self._registration = Registration(
             identity.name,
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/primary_supervisor.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/primary_supervisor.py
@@ -123,7 +123,8 @@
     def _should_hand_over(self) -> bool:
         """Returns whether the primary is leaving and a candidate exists."""
         leader = self._group.leader
-        if leader is None:
+        cached = self._context.takeover_cache.takeover(self._group.name)
+        if leader is None or _was_abandoned_now(cached):
             return False
         listed = self._group.endpoints[leader.endpoint].listed
         return listed.leaving and self._has_candidate()
@@ -258,6 +259,14 @@
             await asyncio.sleep(FAILED_TAKEOVER_PAUSE)
 
 
+def _was_abandoned_now(cached: CachedTakeover | None) -> bool:
+    """Returns whether callers have only just been given their primary back."""
+    if cached is None:
+        return False
+    abandoned = cached.takeover.phase is TakeoverPhase.ABANDONED
+    return abandoned and boot_time() - cached.seen_at < FAILED_TAKEOVER_PAUSE
+
+
 def _is_replaced(suspicion: Suspicion | None, last: Takeover) -> bool:
     """Returns whether the last takeover replaced the suspected primary."""
     return (
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/promoter.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/promoter.py
@@ -71,6 +71,10 @@
         self._endpoint_monitor = endpoint_monitor
         self._claim = claim
         self._deadline = boot_time() + TAKEOVER_TIMEOUT
+        #: Endpoints that the platform can't promote now.
+        self._refused: set[EndpointId] = set()
+        #: Endpoint of an order without an answer.
+        self._uncertain: EndpointId | None = None
 
     @property
     def _takeover(self) -> Takeover:
@@ -101,45 +105,54 @@
         nodes would use it. No other one is ordered then until the takeover
         has been claimed anew, so that all nodes stop again.
         """
-        refused: set[EndpointId] = set()
-        uncertain: EndpointId | None = None
+        stopped_at = boot_time()
         while boot_time() < self._deadline:
-            candidate = uncertain or await self._choose_candidate(refused)
+            candidate = self._uncertain or await self._choose_candidate(
+                stopped_at
+            )
             if candidate is None:
-                refused.clear()
-                await asyncio.sleep(RETRY_INTERVAL)
-                continue
-            result = await self._order(candidate)
-            if result is OrderResult.ACCEPTED:
-                await self._finish(candidate)
-                return
-            if result is OrderResult.LOST:
-                uncertain = candidate
-            if result is OrderResult.NOT_RUNNING:
-                refused.add(candidate)
-            if uncertain in refused or self._lost_claim():
+                self._refused.clear()
+                ended = await self._abandon_if_needless(stopped_at)
+            else:
+                ended = await self._promote_candidate(candidate)
+            if ended:
                 return
             await asyncio.sleep(RETRY_INTERVAL)
         log.error('takeover_stuck', extra={'group': self._group.name})
 
-    async def _choose_candidate(
-        self,
-        refused: set[EndpointId],
-    ) -> EndpointId | None:
+    async def _promote_candidate(self, candidate: EndpointId) -> bool:
+        """Orders the promotion of a candidate once.
+
+        Returns:
+            Whether this promoter has nothing more to do.
+        """
+        result = await self._order(candidate)
+        if result is OrderResult.ACCEPTED:
+            await self._finish(candidate)
+            return True
+        if result is OrderResult.LOST:
+            self._uncertain = candidate
+        if result is OrderResult.NOT_RUNNING:
+            self._refused.add(candidate)
+        return self._uncertain in self._refused or self._lost_claim()
+
+    async def _choose_candidate(self, stopped_at: float) -> EndpointId | None:
         """Returns the replica that has received most of the log, if any.
 
         Of several, one that is not about to leave is preferred.
 
         Args:
-            refused: endpoints that the platform can't promote.
+            stopped_at: boot time since which the old primary is not used.
         """
         handover = self._takeover.kind is TakeoverKind.HANDOVER
         if handover:
-            await self._await_catch_up(refused)
+            await self._await_catch_up()
+        if not await self._knows_every_commit(stopped_at):
+            return None
         received = {
             endpoint.id: self._received_mark(endpoint.id)
             for endpoint in self._group.reachable_endpoints
-            if endpoint.id not in refused
+            if endpoint.id not in self._refused
             and (endpoint.id != self._takeover.old or not handover)
         }
         marks = {
@@ -152,6 +165,73 @@
             key=lambda name: (marks[name], self._is_staying(name)),
         )
 
+    async def _knows_every_commit(self, stopped_at: float) -> bool:
+        """Returns whether the statuses show each acknowledged commit.
+
+        With synchronous replicas each commit is held by at least so many of
+        them. A replica that is busy or silent may be the only one, so all but
+        one fewer than that number must have answered since the stop. One whose
+        entry is gone does not count any more.
+
+        Args:
+            stopped_at: boot time since which the old primary is not used.
+        """
+        synchronous = self._context.synchronous_replicas(self._group.name)
+        if not synchronous:
+            return True
+        replicas = [
+            endpoint
+            for endpoint in self._group.endpoints.values()
+            if endpoint.id != self._takeover.old
+        ]
+        silent = [
+            endpoint
+            for endpoint in replicas
+            if self._received_since(endpoint.id, stopped_at) is None
+        ]
+        await asyncio.gather(*map(self._endpoint_monitor.inspect, silent))
+        known = [
+            endpoint
+            for endpoint in replicas
+            if self._received_since(endpoint.id, stopped_at) is not None
+        ]
+        return len(known) > len(replicas) - synchronous
+
+    def _received_since(
+        self, name: EndpointId, stopped_at: float
+    ) -> Mark | None:
+        observed = self._group.observed_status(name)
+        if observed is None or observed.begun < stopped_at:
+            return None
+        return self._received_mark(name)
+
+    async def _abandon_if_needless(self, stopped_at: float) -> bool:
+        """Gives the takeover up if the old primary is there again.
+
+        It has every commit, so it may go on unless it was demoted or another
+        endpoint has been ordered.
+
+        Args:
+            stopped_at: boot time since which the old primary is not used.
+
+        Returns:
+            Whether the takeover was given up.
+        """
+        needless = self._old_primary_leads(stopped_at)
+        if needless:
+            await self._abandon()
+        return needless
+
+    def _old_primary_leads(self, stopped_at: float) -> bool:
+        old = self._takeover.old
+        observed = self._group.observed_status(old) if old else None
+        return (
+            self._takeover.phase is TakeoverPhase.CLAIMED
+            and observed is not None
+            and observed.begun >= stopped_at
+            and observed.status.role is EndpointRole.PRIMARY
+        )
+
     def _is_staying(self, name: EndpointId) -> bool:
         endpoint = self._group.endpoints[name]
         return not endpoint.listed.leaving
@@ -162,7 +242,7 @@
             return None
         return observed.status.received
 
-    async def _await_catch_up(self, refused: set[EndpointId]) -> None:
+    async def _await_catch_up(self) -> None:
         """Waits until a replica has received the old primary's whole log.
 
         Returns after ``CATCH_UP_TIMEOUT`` in any case.
@@ -175,13 +255,11 @@
                     self._group.reachable_endpoints,
                 ),
             )
-            if self._has_caught_up(begun_at, refused):
+            if self._has_caught_up(begun_at):
                 return
             await asyncio.sleep(RETRY_INTERVAL)
 
-    def _has_caught_up(
-        self, stopped_at: float, refused: set[EndpointId]
-    ) -> bool:
+    def _has_caught_up(self, stopped_at: float) -> bool:
         """Returns whether a replica has the old primary's whole log.
 
         True as well if the old primary can't be reached.
@@ -189,7 +267,6 @@
         Args:
             stopped_at: boot time since which the old primary is not used; its
                 mark of an earlier request may be too low.
-            refused: endpoints that the platform can't promote.
         """
         old = self._takeover.old
         endpoint = self._group.endpoints.get(old) if old else None
@@ -201,7 +278,7 @@
         received = [
             self._received_mark(other.id)
             for other in self._group.reachable_endpoints
-            if other.id != old and other.id not in refused
+            if other.id != old and other.id not in self._refused
         ]
         return any(
             mark is not None and mark >= observed.status.received
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/takeover_context.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/takeover_context.py
@@ -36,6 +36,8 @@
             primary: the supervisors, and nodes whose lease may have lapsed
             though they live.
         load_takeovers: reads all takeovers from the store.
+        synchronous_replicas: returns the number of replicas of a group that
+            must hold a commit before the primary acknowledges it.
     """
 
     node: VmId
@@ -50,3 +52,4 @@
     supervisors: Callable[[GroupName], frozenset[VmId]]
     electors: Callable[[GroupName], frozenset[VmId]]
     load_takeovers: Callable[[], Awaitable[None]]
+    synchronous_replicas: Callable[[GroupName], int]
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/view.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/view.py
@@ -71,6 +71,11 @@
         """Returns the route of a database; None if it has none."""
         return self._table.routes.get(database)
 
+    def synchronous_replicas(self, group: GroupName) -> int:
+        """Returns how many replicas must hold an acknowledged commit."""
+        rules = self._table.groups.get(group)
+        return 0 if rules is None else rules.synchronous_replicas
+
     def listen(self, listener: Callable[[RoutingTable], None]) -> None:
         """Adds a listener.
 
--- a/packages/cowslipfork-direct/tests/fakes/direct_fakes/servers.py
+++ b/packages/cowslipfork-direct/tests/fakes/direct_fakes/servers.py
@@ -80,6 +80,8 @@
     status_time: float = 0
     #: Number of data statements that it will refuse as busy.
     busy: int = 0
+    #: Whether it refuses status requests and fences as busy.
+    control_busy: bool = False
     #: Number of data statements that it will run without answering.
     lose_answers: int = 0
     #: Number of data statements that it will fail.
@@ -281,12 +283,14 @@
     async def status(self):
         await self._cross_network()
         await asyncio.sleep(self._server.status_time)
-        answer = self._server.status()
+        answer = None if self._server.control_busy else self._server.status()
         await self._cross_network()
         return answer
 
     async def hold(self, term):
         await self._cross_network()
+        if self._server.control_busy:
+            return None
         if term > self._server.term:
             self._server.held_term = term
         return self._server.status()
--- a/packages/cowslipfork-direct/tests/fakes/direct_fakes/world.py
+++ b/packages/cowslipfork-direct/tests/fakes/direct_fakes/world.py
@@ -166,7 +166,14 @@
 class World:
     """The whole simulated platform; tests change its parts to inject faults."""
 
-    def __init__(self, size=3, connections=60, *, settled=True):
+    def __init__(
+        self,
+        size=3,
+        connections=60,
+        *,
+        settled=True,
+        synchronous_replicas=0,
+    ):
         self.database = Database(size=size)
         self.store = MemoryStore()
         self.stores = {}
@@ -185,6 +192,7 @@
         #: Results of the next orders; once used up, orders are carried out.
         self.order_results = []
         self.connections = connections
+        self.synchronous_replicas = synchronous_replicas
         #: How nodes that start from now on withdraw keys.
         self.revocation = Revocation()
         self.revision = 0
@@ -255,7 +263,11 @@
                 )
                 for name in settings['databases']
             },
-            {self.database.name: GroupRules(self.connections, 0)},
+            {
+                self.database.name: GroupRules(
+                    self.connections, self.synchronous_replicas
+                )
+            },
             settings['transaction_idle'],
             _workspaces(settings['workspaces']),
         )
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/takeover_table.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/takeover_table.py
@@ -56,8 +56,8 @@
     Mutant(
         'direct: an order without an answer is repeated',
         _TAKEOVER / 'promoter.py',
-        'candidate = uncertain or await self._choose_candidate(refused)',
-        'candidate = await self._choose_candidate(refused)',
+        'candidate = self._uncertain or await self._choose_candidate(',
+        'candidate = await self._choose_candidate(',
         _LOST_WRITES,
     ),
     Mutant(
@@ -147,6 +147,13 @@
         'and self._deadline',
         _DEMOTED,
     ),
+    Mutant(
+        'direct: a candidate is compared with replicas that are busy',
+        _TAKEOVER / 'promoter.py',
+        'return len(known) > len(replicas) - synchronous',
+        'return bool(replicas)',
+        f'{_TESTS}/test_synchronous_replicas.py',
+    ),
     Mutant(
         'direct: a renewal proves nothing while a node stops its work',
         _DIRECT / 'group.py',
