Group: endpoints and allowed primaries are modules of their own

Which endpoints a group has, which of them other nodes may still count and how many must confirm a primary are group_endpoints.py now; which primaries the known takeovers allow is allowed_primaries.py.

--- a/packages/cowslipfork-direct/src/cowslipfork_direct/group.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/group.py
@@ -11,12 +11,10 @@
 from cowslipfork.ids import EndpointId, GroupName, Mark, Term, WorkspaceName
 from cowslipfork.limits import SlotQueue
 from cowslipfork_direct.activity import Activity
+from cowslipfork_direct.allowed_primaries import AllowedPrimaries
 from cowslipfork_direct.clock import boot_time
-from cowslipfork_direct.departed_endpoints import (
-    LISTING_VALIDITY,
-    DepartedEndpoints,
-)
 from cowslipfork_direct.endpoint import Endpoint
+from cowslipfork_direct.group_endpoints import GroupEndpoints
 from cowslipfork_direct.leader_lease import (
     CONFIRMATION_VALIDITY,
     RENEWAL_VALIDITY,
@@ -24,7 +22,7 @@
 )
 from cowslipfork_direct.link import EndpointRole, EndpointStatus, Network
 from cowslipfork_direct.link_quota import LinkQuota
-from cowslipfork_direct.listing import LAPSE_GRACE, ListedEndpoint
+from cowslipfork_direct.listing import ListedEndpoint
 from cowslipfork_direct.mark_history import MarkHistory
 from cowslipfork_direct.observed_statuses import (
     Leader,
@@ -89,17 +87,15 @@
         self._relays = relays
         self._report_gap = report_gap
         self._now = now
-        self._listing_known_at = listing_known_at
-        self._first_listed_at = math.inf
-        self._departed = DepartedEndpoints(now)
-        self._endpoints: dict[EndpointId, Endpoint] = {}
+        self._group_endpoints = GroupEndpoints(
+            self._connect, now, listing_known_at
+        )
         self._observed_statuses = ObservedStatuses()
         self._leader: Leader | None = None
         self._last_leader: Leader | None = None
         self._leaderless_since = asyncio.get_running_loop().time()
         self._lease_renewed_at = -math.inf
-        self._max_rejected_term = Term(0)
-        self._candidate: Leader | None = None
+        self._allowed_primaries = AllowedPrimaries()
         self._paused = False
         self._link_quota = LinkQuota(INITIAL_LINKS)
         self._changed = asyncio.Event()
@@ -108,16 +104,12 @@
     @property
     def endpoints(self) -> Mapping[EndpointId, Endpoint]:
         """Endpoints by id."""
-        return self._endpoints
+        return self._group_endpoints.by_id
 
     @property
     def reachable_endpoints(self) -> list[Endpoint]:
         """Endpoints that are reachable."""
-        return [
-            endpoint
-            for endpoint in self._endpoints.values()
-            if endpoint.unreachable_since is None
-        ]
+        return self._group_endpoints.reachable
 
     @property
     def leader(self) -> Leader | None:
@@ -149,12 +141,7 @@
     @property
     def listed_primary(self) -> EndpointId | None:
         """Endpoint whose entry says that it is the primary, if it is one."""
-        primaries = [
-            endpoint.id
-            for endpoint in self._endpoints.values()
-            if endpoint.listed.role is EndpointRole.PRIMARY
-        ]
-        return primaries[0] if len(primaries) == 1 else None
+        return self._group_endpoints.listed_primary
 
     @property
     def highest_term(self) -> Term:
@@ -165,28 +152,18 @@
 
     @property
     def confirmations_needed(self) -> int:
-        """Replicas that have to confirm the primary, at least one.
-
-        With the primary they are a majority of the endpoints. A list of them
-        that was read long ago may be outdated: all of them are needed then.
-        """
-        others = len(self._endpoints) - 1
-        outdated = self._listing_known_at() + LISTING_VALIDITY < self._now()
-        return max(1, others if outdated else len(self._endpoints) // 2)
+        """Replicas that have to confirm the primary, at least one."""
+        return self._group_endpoints.confirmations_needed
 
     @property
     def countable_endpoints(self) -> frozenset[EndpointId]:
         """Endpoints that some node may count to confirm a primary."""
-        return self._departed.countable.union(self._endpoints)
+        return self._group_endpoints.countable
 
     @property
     def listing_settled(self) -> bool:
-        """Whether an endpoint that is not listed has certainly no entry.
-
-        The first list that a node reads may lack entries that lapsed in an
-        outage of the store and that are about to be written again.
-        """
-        return self._now() >= self._first_listed_at + LAPSE_GRACE
+        """Whether an endpoint that is not listed has certainly no entry."""
+        return self._group_endpoints.settled
 
     @property
     def change_event(self) -> asyncio.Event:
@@ -210,7 +187,7 @@
             return None
         candidates = [
             endpoint
-            for endpoint in self._endpoints.values()
+            for endpoint in self.endpoints.values()
             if self.follows(endpoint.id) and not endpoint.health.failing
         ]
         return leader if candidates else None
@@ -243,19 +220,15 @@
         Returns:
             Endpoints that are new and must be watched.
         """
-        self._first_listed_at = min(self._first_listed_at, self._now())
-        entries = {entry.endpoint: entry for entry in listed}
-        for gone in self._endpoints.keys() - entries.keys():
-            self._drop(gone)
-        added = tuple(
-            self._add(entry)
-            for entry in entries.values()
-            if self._is_new(entry)
-        )
-        for name, entry in entries.items():
-            self._relist(self._endpoints[name], entry)
+        changes = self._group_endpoints.update(listed)
+        if changes.added:
+            self._uninspected.set()
+        for name in changes.outdated:
+            self.forget(name)
+        if changes.notable:
+            self._notify_change()
         self.set_link_quota(self._link_quota)
-        return added
+        return changes.added
 
     def set_link_quota(self, quota: LinkQuota) -> None:
         """Sets the connection quota of this node at each endpoint."""
@@ -264,10 +237,10 @@
         beyond = SPARE_LINKS if quota.statements_at_once is None else 0
         slots = min(links, quota.statements_at_once or links)
         self.queue.resize(
-            dict.fromkeys(self._endpoints, slots), links + beyond - slots
+            dict.fromkeys(self.endpoints, slots), links + beyond - slots
         )
         kept = min(links, quota.kept or links)
-        for endpoint in self._endpoints.values():
+        for endpoint in self.endpoints.values():
             endpoint.pool.set_quota(kept, links + beyond - kept)
 
     def retire_connections(self, workspaces: Collection[WorkspaceName]) -> None:
@@ -276,7 +249,7 @@
         Args:
             workspaces: workspaces whose keys were all withdrawn.
         """
-        for endpoint in self._endpoints.values():
+        for endpoint in self.endpoints.values():
             endpoint.pool.retire(workspaces)
 
     def observe(
@@ -292,7 +265,7 @@
             status: the status.
             begun: boot time just before the request.
         """
-        if endpoint not in self._endpoints:
+        if endpoint not in self.endpoints:
             return
         if not self._observed_statuses.update(
             endpoint, ObservedStatus(status, begun)
@@ -330,7 +303,9 @@
         error soon, since other nodes may reach the primary.
         """
         last = self._last_leader
-        expected = last is not None and self._max_rejected_term >= last.term
+        expected = last is not None and self._allowed_primaries.rejects(
+            last.term
+        )
         if self._leader is not None or expected:
             return math.inf
         return self._leaderless_since + MAX_LEADERLESS_WAIT
@@ -348,11 +323,10 @@
             ceiling: greatest term that is rejected.
             candidate: candidate that may become primary, and its lowest term.
         """
-        self._max_rejected_term = max(self._max_rejected_term, ceiling)
-        self._candidate = candidate
+        self._allowed_primaries.reject(ceiling, candidate)
         self._paused = False
         leader = self._leader
-        if leader is not None and not self._may_lead(leader):
+        if leader is not None and not self._allowed_primaries.allows(leader):
             self._set_leader(None)
         self._notify_change()
 
@@ -364,8 +338,7 @@
 
     def accept_primaries(self) -> None:
         """Accepts the old primary again, as after an abandoned promotion."""
-        self._max_rejected_term = Term(0)
-        self._candidate = None
+        self._allowed_primaries.allow_all()
         self._paused = False
         for endpoint in self._observed_statuses.endpoints:
             self.forget(endpoint)
@@ -405,68 +378,33 @@
 
     def _end_use(self) -> None:
         """Closes idle connections and forgets statuses, which grow old."""
-        for endpoint in self._endpoints.values():
+        for endpoint in self.endpoints.values():
             endpoint.drop_idle()
             self.forget(endpoint.id)
 
     def _failing(self, name: EndpointId) -> bool:
-        endpoint = self._endpoints.get(name)
+        endpoint = self.endpoints.get(name)
         return endpoint is not None and endpoint.health.failing
 
-    def _is_new(self, entry: ListedEndpoint) -> bool:
-        known = self._endpoints.get(entry.endpoint)
-        if known is not None and known.listed.born != entry.born:
-            # A process restarted under the same id has lost all its state.
-            self._drop(entry.endpoint)
-            known = None
-        return known is None
-
-    def _relist(self, endpoint: Endpoint, entry: ListedEndpoint) -> None:
-        """Replaces an endpoint's entry in the store."""
-        before = endpoint.listed
-        endpoint.listed = entry
-        if before.role is not entry.role:
-            self.forget(endpoint.id)
-        elif before.leaving is not entry.leaving:
-            self._notify_change()
-
-    def _add(self, entry: ListedEndpoint) -> Endpoint:
-        endpoint = Endpoint(
+    def _connect(self, entry: ListedEndpoint) -> Endpoint:
+        return Endpoint(
             entry,
             self._network,
             self._relays,
             self._endpoint_changed,
             lambda _: self.queue.serve_waiters(),
         )
-        self._endpoints[entry.endpoint] = endpoint
-        self._departed.discard(entry.endpoint)
-        self._uninspected.set()
-        return endpoint
-
-    def _drop(self, name: EndpointId) -> None:
-        endpoint = self._endpoints.pop(name)
-        endpoint.close()
-        if not endpoint.listed.leaving:
-            self._departed.add(name)
-        self.forget(name)
 
     def _endpoint_changed(self, name: EndpointId) -> None:
-        if name in self._endpoints:
+        if name in self.endpoints:
             self.forget(name)
 
     def _update_leader(self) -> None:
         """Switches to the primary of the highest known term."""
-        chosen = self._observed_statuses.leader(self._may_lead)
+        chosen = self._observed_statuses.leader(self._allowed_primaries.allows)
         if chosen != self._leader:
             self._set_leader(chosen)
 
-    def _may_lead(self, leader: Leader) -> bool:
-        """Returns whether known takeovers allow a primary in its term."""
-        candidate = self._candidate
-        if candidate is not None and candidate.endpoint == leader.endpoint:
-            return leader.term >= candidate.term
-        return leader.term > self._max_rejected_term
-
     def _set_leader(self, leader: Leader | None) -> None:
         self._leader = leader
         self._last_leader = leader or self._last_leader
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/promoter.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/promoter.py
@@ -201,9 +201,8 @@
         self, name: EndpointId, stopped_at: float
     ) -> Mark | None:
         observed = self._group.observed_status(name)
-        if observed is None or observed.begun < stopped_at:
-            return None
-        return self._received_mark(name)
+        recent = observed is not None and observed.begun >= stopped_at
+        return self._received_mark(name) if recent else None
 
     async def _abandon_if_needless(self, stopped_at: float) -> bool:
         """Gives the takeover up if the old primary is there again.
--- a/packages/cowslipfork-direct/tests/takeover/test_store_outage.py
+++ b/packages/cowslipfork-direct/tests/takeover/test_store_outage.py
@@ -8,8 +8,8 @@
 from direct_fakes.world import World, run, world
 
 from cowslipfork.ids import EndpointId
-from cowslipfork_direct.departed_endpoints import DEPARTED_HORIZON
 from cowslipfork_direct.fleet import REREGISTRATION_TIME
+from cowslipfork_direct.group_endpoints import DEPARTED_HORIZON
 from cowslipfork_direct.listing import LAPSE_GRACE
 
 #: Seconds without the store: longer than three heartbeats of a server.
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/takeover_table.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/takeover_table.py
@@ -90,9 +90,9 @@
     ),
     Mutant(
         'direct: a fence includes replicas that are not listed any more',
-        _DIRECT / 'group.py',
-        'return self._departed.countable.union(self._endpoints)',
-        'return frozenset(self._endpoints)',
+        _DIRECT / 'group_endpoints.py',
+        'return frozenset(self._forget_at).union(self._by_id)',
+        'return frozenset(self._by_id)',
         _OUTAGE,
     ),
     Mutant(
