--- a/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/direct_table.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/direct_table.py
@@ -63,7 +63,7 @@
     Mutant(
         'direct: a claim compares the revision of the duty record',
         _DIRECT / 'takeover/claims.py',
-        'Compare(DUTY_KEY, self._takeover_cache.duty_revision),\n',
+        '                Compare(DUTY_KEY, held_revision),\n',
         '',
         _TAKEOVER,
     ),
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/sharing_table.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/sharing_table.py
@@ -110,7 +110,7 @@
     Mutant(
         'sharing: statements at once are limited apart from connections',
         _DIRECT / 'group.py',
-        'slots = min(links, statements_at_once or links)',
+        'slots = min(links, quota.statements_at_once or links)',
         'slots = links',
         _POOL_TESTS,
     ),
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/table.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/table.py
@@ -222,8 +222,8 @@
     Mutant(
         'rate limits: a bucket starts empty',
         _DOMAIN / 'limits/rate_limit.py',
-        'self._tokens: float = 0',
-        'self._tokens: float = self._capacity',
+        'self._tokens = initial',
+        'self._tokens = self._capacity',
         f'{_DOMAIN_TESTS}/limits/test_rate_limit.py',
     ),
     Mutant(
@@ -271,7 +271,7 @@
     Mutant(
         'rate limits: a started process does not vote at once',
         _RATE_LIMITS / 'votes.py',
-        'self._silent_until = now + VOTE_VALIDITY',
+        'self._silent_until = now + VOTING_SILENCE',
         'self._silent_until = now',
         f'{_RATE_LIMITS_TESTS}/test_votes.py',
     ),
