--- a/packages/cowslipfork-direct/src/cowslipfork_direct/era_settlement.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/era_settlement.py
@@ -28,6 +28,7 @@
     StoreEra,
 )
 from cowslipfork_direct.clock import boot_time
+from cowslipfork_direct.decoding import decode_json
 from cowslipfork_direct.store_era import ONLY_ERA, EraTracker
 from cowslipfork_direct.store_watcher import Subscription
 
@@ -181,11 +182,11 @@
         self._revision = event.revision
         if event.content is None:
             return
-        try:
-            record = msgspec.json.decode(event.content, type=SettledEra)
-        except msgspec.MsgspecError as error:
-            log.warning('era_unreadable', extra={'cause': str(error)})
+        decoded = decode_json(event.content, SettledEra)
+        if decoded.is_error():
+            log.warning('era_unreadable', extra={'cause': str(decoded.error)})
             return
+        record = decoded.ok
         self._record = record
         if self.settled:
             log.warning(
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/fleet.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/fleet.py
@@ -7,13 +7,12 @@
 from dataclasses import dataclass
 from typing import Final
 
-import msgspec
-
 from cowslipfork.ids import FailureDomain, VmId
 from cowslipfork.store import Event, LeaseId, StoreEra
 from cowslipfork.weights import rendezvous_weight
 from cowslipfork_direct.carriers import NodeTraits
 from cowslipfork_direct.clock import boot_time
+from cowslipfork_direct.decoding import decode_json
 from cowslipfork_direct.relay import Address
 from cowslipfork_direct.store_watcher import Subscription
 
@@ -73,11 +72,11 @@
     Returns:
         The entry; None if it can't be read, which is logged.
     """
-    try:
-        return msgspec.json.decode(content, type=Registered)
-    except msgspec.MsgspecError as error:
-        log.warning('node_unreadable', extra={'cause': str(error)})
+    decoded = decode_json(content, Registered)
+    if decoded.is_error():
+        log.warning('node_unreadable', extra={'cause': str(decoded.error)})
         return None
+    return decoded.ok
 
 
 def node_key(node: VmId) -> str:
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/metrics.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/metrics.py
@@ -84,6 +84,11 @@
             'Times that the store was seen to return from an older copy.',
             registry=self._registry,
         )
+        self._unreadable_entries = Counter(
+            'cowslipfork_unreadable_entries',
+            "Servers' entries in the store that describe no usable server.",
+            registry=self._registry,
+        )
         self._refused_keys = Counter(
             'cowslipfork_refused_keys',
             'Callers and statements that were refused for their key.',
@@ -130,6 +135,10 @@
         """Counts a caller or statement that was refused for its key."""
         self._refused_keys.labels(reason).inc()
 
+    def count_unreadable_entry(self) -> None:
+        """Counts an entry of a server that can't be used."""
+        self._unreadable_entries.inc()
+
     def count_task_failure(self, task: str) -> None:
         """Counts an unexpected error in a part of the node."""
         self._task_failures.labels(task).inc()
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/node.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/node.py
@@ -184,7 +184,11 @@
             self._store,
             (
                 configuration_subscription(adapters.store_schema, self._view),
-                listing_subscription(adapters.store_schema, self._view),
+                listing_subscription(
+                    adapters.store_schema,
+                    self._view,
+                    self._metrics.count_unreadable_entry,
+                ),
                 *self._fleet.subscriptions(),
                 *self._takeover_cache.subscriptions(),
                 self._settlement.subscription(),
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/relay.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/relay.py
@@ -14,13 +14,13 @@
 import asyncio
 import logging
 from collections.abc import Awaitable, Callable, Collection
-from contextlib import suppress
 from dataclasses import dataclass
 from typing import Final
 
 import msgspec
 
 from cowslipfork.errors import CowslipforkError
+from cowslipfork_direct.decoding import decode_json
 
 log = logging.getLogger(__name__)
 
@@ -207,15 +207,12 @@
 
 def _decode_hello(line: bytes) -> Hello | None:
     """Returns the message of a relayed connection; None for another one."""
-    with suppress(msgspec.ValidationError):
-        return msgspec.json.decode(line, type=Hello)
-    return None
+    return decode_json(line, Hello).default_value(None)
 
 
 def _decode_reached(line: bytes) -> bool:
-    with suppress(msgspec.MsgspecError):
-        return msgspec.json.decode(line, type=Reached).reached
-    return False
+    decoded = decode_json(line, Reached)
+    return decoded.is_ok() and decoded.ok.reached
 
 
 def _send(writer: asyncio.StreamWriter, message: Hello | Reached) -> None:
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/subscriptions.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/subscriptions.py
@@ -92,27 +92,37 @@
     return Subscription(store_schema.configuration_key, on_events)
 
 
-def listing_subscription(store_schema: StoreSchema, view: View) -> Subscription:
+def listing_subscription(
+    store_schema: StoreSchema, view: View, on_unreadable: Callable[[], None]
+) -> Subscription:
     """Returns a subscription that applies changes of endpoints' entries.
 
     Args:
         store_schema: key prefix and decoder of the entries.
         view: the view whose endpoints are updated.
+        on_unreadable: called for each entry that describes no endpoint.
     """
-    reader = _ListingReader(store_schema, view)
+    reader = _ListingReader(store_schema, view, on_unreadable)
     return Subscription(store_schema.listing_prefix, reader.apply_events)
 
 
 class _ListingReader:
     """Applies changes of endpoints' entries to a listing and a view."""
 
-    def __init__(self, store_schema: StoreSchema, view: View) -> None:
+    def __init__(
+        self,
+        store_schema: StoreSchema,
+        view: View,
+        on_unreadable: Callable[[], None],
+    ) -> None:
         """Starts without entries.
 
         Args:
             store_schema: key prefix and decoder of the entries.
             view: the view whose endpoints are updated.
+            on_unreadable: called for each entry that describes no endpoint.
         """
+        self._on_unreadable = on_unreadable
         self._store_schema = store_schema
         self._view = view
         self._listing = EndpointListing()
@@ -135,7 +145,10 @@
         decoded = self._store_schema.decode_entry(event.key, content)
         if decoded.is_error():
             cause = str(decoded.error)
-            log.warning('entry_unreadable', extra={'cause': cause})
+            log.warning(
+                'entry_unreadable', extra={'key': event.key, 'cause': cause}
+            )
+            self._on_unreadable()
             self._listing.remove(name)
         elif event.restored:
             self._listing.restore(decoded.ok)
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/records.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/records.py
@@ -5,12 +5,10 @@
 from dataclasses import dataclass
 from enum import Enum, unique
 from types import MappingProxyType
-from typing import Final, NewType, TypeVar
+from typing import Final, NewType
 
 import msgspec
-from expression import Error, Ok, Result
 
-from cowslipfork.errors import CowslipforkError
 from cowslipfork.ids import EndpointId, GroupName, Term, VmId
 
 #: Identifies one claim, so that its claimer can find out whether a write whose
@@ -166,37 +164,11 @@
         return named_alike and alike
 
 
-class RecordUnreadable(CowslipforkError):
-    """A record that can't be decoded: of another writer or version."""
-
-
-_Record = TypeVar('_Record', Duty, Takeover, Stopped, Suspicion)
-
-
 def encode(record: Duty | Takeover | Stopped | Suspicion) -> bytes:
     """Encodes a record as JSON."""
     return msgspec.json.encode(record)
 
 
-def decode(
-    content: bytes,
-    record_type: type[_Record],
-) -> Result[_Record, RecordUnreadable]:
-    """Decodes a record from JSON.
-
-    Args:
-        content: the stored bytes.
-        record_type: class of the record.
-
-    Returns:
-        The record; ``RecordUnreadable`` if the content does not match.
-    """
-    try:
-        return Ok(msgspec.json.decode(content, type=record_type))
-    except msgspec.MsgspecError as error:
-        return Error(RecordUnreadable(f'{record_type.__name__}: {error}'))
-
-
 def takeover_key(group: GroupName) -> str:
     """Returns the key of a group's takeover."""
     return f'{TAKEOVERS_PREFIX}{group}'
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/takeover_cache.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/takeover_cache.py
@@ -10,6 +10,7 @@
 from cowslipfork.ids import GroupName, VmId
 from cowslipfork.store import Event
 from cowslipfork_direct.clock import boot_time
+from cowslipfork_direct.decoding import decode_json
 from cowslipfork_direct.store_watcher import Subscription
 from cowslipfork_direct.takeover.records import (
     DUTY_KEY,
@@ -21,7 +22,6 @@
     Stopped,
     Suspicion,
     Takeover,
-    decode,
 )
 
 log = logging.getLogger(__name__)
@@ -176,7 +176,7 @@
         self._duty = None
         if event.content is None:
             return
-        decoded = decode(event.content, Duty)
+        decoded = decode_json(event.content, Duty)
         if decoded.is_ok():
             self._duty = (decoded.ok, event.revision)
         else:
@@ -185,7 +185,7 @@
     def _apply_takeover(self, event: Event) -> None:
         if event.content is None:
             return
-        decoded = decode(event.content, Takeover)
+        decoded = decode_json(event.content, Takeover)
         if decoded.is_error():
             _log_unreadable(event.key, decoded.error)
             return
@@ -222,7 +222,7 @@
         self._stopped[group].pop(node, None)
         if event.content is None:
             return
-        decoded = decode(event.content, Stopped)
+        decoded = decode_json(event.content, Stopped)
         if decoded.is_ok():
             self._stopped[group][node] = decoded.ok.claim
         else:
@@ -233,7 +233,7 @@
         self._suspicions[group].pop(node, None)
         if event.content is None:
             return
-        decoded = decode(event.content, Suspicion)
+        decoded = decode_json(event.content, Suspicion)
         if decoded.is_ok():
             self._suspicions[group][node] = decoded.ok
         else:
