--- a/packages/cowslipfork-direct/src/cowslipfork_direct/endpoint_monitor.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/endpoint_monitor.py
@@ -36,6 +36,10 @@
 #: its mark.
 SAMPLE_AGE_FRACTION: Final = 0.6
 
+#: Seconds between two rounds of status requests to endpoints whose last status
+#: was of another term than the primary's.
+OUTDATED_STATUS_PAUSE: Final = 0.25
+
 #: Seconds between two rounds of status requests while there is no primary.
 LEADER_SEARCH_PAUSE: Final = 0.05
 
@@ -60,6 +64,7 @@
         self._group = group
         self._renewal_requested = asyncio.Event()
         self._sample_requested = asyncio.Event()
+        self._statuses_requested = asyncio.Event()
         self._no_wait_until: float = 0
         self._word_needed: LeaseNeed | None = None
         self._waiting_for_lease = 0
@@ -82,6 +87,10 @@
         if boot_time() >= newest + max_age * SAMPLE_AGE_FRACTION:
             self._sample_requested.set()
 
+    def request_outdated_statuses(self) -> None:
+        """Requests the statuses of endpoints that were of another term."""
+        self._statuses_requested.set()
+
     async def wait_for_lease(
         self,
         leader: Leader,
@@ -156,6 +165,7 @@
             tasks.create_task(self._renew_lease())
             tasks.create_task(self._find_leader())
             tasks.create_task(self._sample_mark())
+            tasks.create_task(self._inspect_outdated())
 
     async def inspect(self, endpoint: Endpoint) -> bool:
         """Requests an endpoint's status and updates the group with it.
@@ -253,6 +263,19 @@
             await self._inspect_all(self._group.reachable_endpoints)
             await asyncio.sleep(LEADER_SEARCH_PAUSE)
 
+    async def _inspect_outdated(self) -> None:
+        """Inspects endpoints that are not in the primary's term on request."""
+        while True:
+            await self._statuses_requested.wait()
+            outdated = [
+                endpoint
+                for endpoint in self._replicas()
+                if not self._group.follows(endpoint.id)
+            ]
+            await self._inspect_all(outdated)
+            await asyncio.sleep(OUTDATED_STATUS_PAUSE)
+            self._statuses_requested.clear()
+
     async def _sample_mark(self) -> None:
         """Requests the primary's mark when a sample is requested."""
         while True:
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/primary_supervisor.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/primary_supervisor.py
@@ -91,6 +91,8 @@
                 await self._record_effect(unrecorded)
                 await wait_for_any(*change_events, timeout=POLL_INTERVAL)
                 continue
+            if self._lacks_candidate():
+                self._endpoint_monitor.request_outdated_statuses()
             kind = self.needed_takeover()
             if kind is None:
                 await wait_for_any(*change_events, timeout=POLL_INTERVAL)
@@ -194,6 +196,18 @@
             return len(agreeing & alive) >= needed and not recent
         return len(agreeing & electors) > len(electors) // 2
 
+    def _lacks_candidate(self) -> bool:
+        """Returns whether a primary can't be replaced that should be.
+
+        The last status of a replica may be of an earlier term, from before it
+        followed this primary.
+        """
+        leader = self._group.leader
+        if leader is None or self._has_candidate():
+            return False
+        endpoint = self._group.endpoints[leader.endpoint]
+        return endpoint.listed.leaving or endpoint.health.failing
+
     def _has_candidate(self) -> bool:
         return any(
             self._group.follows(endpoint.id)
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/takeover_table.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/takeover_table.py
@@ -161,4 +161,11 @@
         'if self._leader is not None:',
         _DEMOTED,
     ),
+    Mutant(
+        'direct: a replica of an earlier term is asked again',
+        _TAKEOVER / 'primary_supervisor.py',
+        'if self._lacks_candidate():',
+        'if self._lacks_candidate() and not self._group:',
+        f'{_TESTS}/test_outdated_statuses.py',
+    ),
 )
