--- a/packages/cowslipfork-direct/src/cowslipfork_direct/drain.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/drain.py
@@ -19,6 +19,9 @@
 #: case.
 EXIT_MARGIN: Final = 0.5
 
+#: Seconds before the end of draining by which every statement is answered.
+ANSWER_MARGIN: Final = 0.1
+
 #: Seconds between two checks for connections that have become idle.
 POLL_INTERVAL: Final = 0.05
 
@@ -67,13 +70,18 @@
     while connections and loop.time() < begun + grace - EXIT_MARGIN:
         if loop.time() >= begun + grace * TRANSACTION_GRACE:
             await _abort_transactions(connections)
-        for connection in tuple(connections):
-            if connection.idle and not connection.in_transaction:
-                connection.close()
+        close_idle(connections)
         await asyncio.sleep(POLL_INTERVAL)
     log.info('drained', extra={'connections': len(connections)})
 
 
+def close_idle(connections: Collection[CallerConnection]) -> None:
+    """Closes connections that serve no request and no transaction."""
+    for connection in tuple(connections):
+        if connection.idle and not connection.in_transaction:
+            connection.close()
+
+
 async def _abort_transactions(
     connections: Collection[CallerConnection],
 ) -> None:
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/node.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/node.py
@@ -5,6 +5,7 @@
 import asyncio
 import itertools
 import logging
+import math
 from typing import Final
 
 from cowslipfork.ids import VmId
@@ -48,7 +49,11 @@
     Route,
     RoutingTable,
 )
-from cowslipfork_direct.session import Session, SessionContext
+from cowslipfork_direct.session import (
+    Session,
+    SessionContext,
+    refusal_of_leaving,
+)
 from cowslipfork_direct.store_watcher import StoreWatcher
 from cowslipfork_direct.subscriptions import (
     configuration_subscription,
@@ -97,6 +102,7 @@
             revocation: how keys are withdrawn; None for the defaults.
         """
         options = options or CarrierOptions()
+        self._answer_by = math.inf
         self._adapters = adapters
         self._name = identity.name
         self._eras = adapters.eras
@@ -207,6 +213,7 @@
             self._workspaces.identify,
             self._workspaces.priority,
             self._rate_limits,
+            lambda: self._answer_by,
             self._metrics,
         )
         add_group_gauges(self._metrics, self._view)
@@ -260,6 +267,9 @@
                 await self._wait_until_configured()
         except TimeoutError:
             return NotRun(Reason.NOT_CURRENT, START_RETRY_MS)
+        refusal = refusal_of_leaving(self._answer_by)
+        if refusal is not None:
+            return refusal
         route = self._view.route(database)
         if route is None:
             detail = f'no route for database "{database}"'
@@ -310,8 +320,15 @@
         finally:
             self._close()
 
-    def start_leaving(self) -> None:
-        """Has other nodes send no new statements to this one."""
+    def start_leaving(self, answer_by: float = math.inf) -> None:
+        """Has other nodes send no new statements to this one.
+
+        Callers are served as long as their statements can be answered in time.
+
+        Args:
+            answer_by: loop time by which every statement must be answered.
+        """
+        self._answer_by = answer_by
         self._carrier_service.leave(self._peer_server)
         if self._placement.any_carriers:
             self._registration.withdraw()
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/session.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/session.py
@@ -61,6 +61,14 @@
 #: Detail of the refusal after a transaction whose key was withdrawn.
 KEY_WITHDRAWN: Final = 'the key of the transaction was withdrawn'
 
+#: Least seconds until the node stops answering with which a statement is
+#: accepted.
+MIN_TIME_LEFT: Final = 0.3
+
+#: Milliseconds after which a caller that a leaving node refuses should retry,
+#: at another node.
+LEAVING_RETRY_MS: Final = 50
+
 #: Why the key of a caller is refused, as opposed to a statement of it.
 _KEY_REFUSALS: Final = frozenset((Reason.UNKNOWN_KEY, Reason.NOT_CURRENT))
 
@@ -82,6 +90,8 @@
         priority: returns the priority of a workspace.
         admission: applies the rate limit of a workspace, once for each
             transaction or single statement.
+        answer_by: returns the loop time by which everything must be answered;
+            infinity unless the node is leaving.
         metrics: metrics of the node.
     """
 
@@ -90,6 +100,7 @@
     identify: Identify
     priority: Callable[[WorkspaceName | None], int]
     admission: Admission
+    answer_by: Callable[[], float]
     metrics: Metrics
 
 
@@ -297,8 +308,13 @@
         if statement.verb is Verb.EXECUTE and prepared is None:
             detail = f'prepared statement "{statement.name}" does not exist'
             return _bad_request(detail)
+        answer_by = self._context.answer_by()
+        refusal = refusal_of_leaving(answer_by)
+        if refusal is not None:
+            return refusal
         arrived = boot_time()
-        deadline = asyncio.get_running_loop().time() + route.timeout
+        timeout_at = asyncio.get_running_loop().time() + route.timeout
+        deadline = min(timeout_at, answer_by)
         workspace = await self._admit_workspace()
         if isinstance(workspace, NotRun):
             return workspace
@@ -435,5 +451,19 @@
         return NotRun(Reason.UNKNOWN_GROUP, detail=detail)
 
 
+def refusal_of_leaving(answer_by: float) -> NotRun | None:
+    """Returns the refusal of work that could not be answered in time.
+
+    Args:
+        answer_by: loop time by which everything must be answered.
+
+    Returns:
+        The refusal; None if there is time enough.
+    """
+    if asyncio.get_running_loop().time() + MIN_TIME_LEFT < answer_by:
+        return None
+    return NotRun(Reason.DRAINING, LEAVING_RETRY_MS, 'the node is leaving')
+
+
 def _bad_request(detail: str) -> NotRun:
     return NotRun(Reason.BAD_REQUEST, detail=detail)
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/direct_table.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/direct_table.py
@@ -396,4 +396,18 @@
         'if served.writes is None:',
         _SESSION,
     ),
+    Mutant(
+        'direct: a leaving node answers each statement before its end',
+        _DIRECT / 'session.py',
+        'deadline = min(timeout_at, answer_by)',
+        'deadline = timeout_at',
+        f'{_TESTS}/test_leaving.py',
+    ),
+    Mutant(
+        'direct: a leaving node accepts nothing that comes too late',
+        _DIRECT / 'session.py',
+        'if asyncio.get_running_loop().time() + MIN_TIME_LEFT < answer_by:',
+        'if answer_by:',
+        f'{_TESTS}/test_leaving.py',
+    ),
 )
