A session reads its own writes without a sample of the primary (STALE)

A read of the kind `read_your_writes` through a node that had missed a change of primary, and had no sample of the primary's mark, lacked the session's own write.

Cause: without a sample there is no minimum mark, and the session's mark was dropped with it; the lease had to cover only the time that the route's age allows.

Evidence: the new test of takeover/test_demoted_primary.py failed before: e1, which only that node reaches, answered without the write.

Change: for a session that has written, the lease must cover the arrival.

Result: the test passes.

--- a/packages/cowslipfork-direct/src/cowslipfork_direct/attempt.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/attempt.py
@@ -205,12 +205,16 @@
         """Returns what must be proved of the primary.
 
         For a write this is that it leads now; for a read, that it led at the
-        oldest time of which the read may show the data.
+        oldest time of which the read may show the data. A session that has
+        written may have done so up to the arrival of the read.
         """
         served = self._served
         if served.writes:
             return LeaseNeed.of_write(boot_time())
-        return LeaseNeed.of_read(served.arrived - (served.max_age or 0))
+        age = served.max_age or 0
+        if served.session_mark is not None:
+            age = 0
+        return LeaseNeed.of_read(served.arrived - age)
 
 
 def _not_sent(
--- a/packages/cowslipfork-direct/tests/takeover/test_demoted_primary.py
+++ b/packages/cowslipfork-direct/tests/takeover/test_demoted_primary.py
@@ -10,6 +10,7 @@
 
 from cowslipfork.ids import Term, VmId
 from cowslipfork.outcomes import Done
+from cowslipfork_direct.mark_history import MarkHistory
 from cowslipfork_direct.takeover.records import (
     ClaimId,
     Takeover,
@@ -141,3 +142,36 @@
     accepting, before, lease = run(main())
     assert accepting is None
     assert lease.valid_until == before
+
+
+async def write_at_successor(cluster):
+    """Replaces e1, which n2 alone reaches; returns a session that wrote."""
+    cluster.stores['n2'].blocked = True
+    cluster.node_partitions = {('n2', 'n1'), ('n2', 'n3')}
+    cluster.blocked_paths = {('n1', 'e1'), ('n3', 'e1')} | {
+        ('n2', 'e2'),
+        ('n2', 'e3'),
+    }
+    session = await cluster.session(AGED, 'n1')
+    while len(cluster.database.terms) == 1 or not session.mark:
+        await session.run(statement('WRITE own'))
+        await asyncio.sleep(0.01)
+    return session
+
+
+def test_a_session_reads_its_writes_through_a_node_without_samples():
+    """Guards against reads that lack what their session has written."""
+
+    async def main():
+        async with world(nodes=3) as cluster:
+            cluster.database.promotion_delay = 0.05
+            cluster.database.partitions = {('e1', 'e2'), ('e1', 'e3')}
+            node = cluster.nodes['n2']
+            node._view.groups['g'].mark_history = MarkHistory()
+            written = await write_at_successor(cluster)
+            other = await cluster.session(AGED, 'n2')
+            other._mark = written.mark
+            return await other.run(statement('READ own'))
+
+    outcome = run(main())
+    assert not isinstance(outcome, Done) or outcome.answer.rows
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/takeover_table.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/takeover_table.py
@@ -168,4 +168,11 @@
         'if self._lacks_candidate() and not self._group:',
         f'{_TESTS}/test_outdated_statuses.py',
     ),
+    Mutant(
+        'direct: a session reads its writes without a sample of the primary',
+        _DIRECT / 'attempt.py',
+        'if served.session_mark is not None:',
+        'if served.writes:',
+        _DEMOTED,
+    ),
 )
