--- a/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/promoter.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/promoter.py
@@ -106,7 +106,10 @@
         has been claimed anew, so that all nodes stop again.
         """
         stopped_at = boot_time()
-        while boot_time() < self._deadline:
+        while not self._lost_claim():
+            if boot_time() >= self._deadline:
+                log.error('takeover_stuck', extra={'group': self._group.name})
+                return
             candidate = self._uncertain or await self._choose_candidate(
                 stopped_at
             )
@@ -118,7 +121,6 @@
             if ended:
                 return
             await asyncio.sleep(RETRY_INTERVAL)
-        log.error('takeover_stuck', extra={'group': self._group.name})
 
     async def _promote_candidate(self, candidate: EndpointId) -> bool:
         """Orders the promotion of a candidate once.
@@ -134,12 +136,13 @@
             self._uncertain = candidate
         if result is OrderResult.NOT_RUNNING:
             self._refused.add(candidate)
-        return self._uncertain in self._refused or self._lost_claim()
+        return self._uncertain in self._refused
 
     async def _choose_candidate(self, stopped_at: float) -> EndpointId | None:
         """Returns the replica that has received most of the log, if any.
 
-        Of several, one that is not about to leave is preferred.
+        Of several, one that is not about to leave is preferred. A primary that
+        was demoted in a handover leads again if there is no other one.
 
         Args:
             stopped_at: boot time since which the old primary is not used.
@@ -153,16 +156,18 @@
             endpoint.id: self._received_mark(endpoint.id)
             for endpoint in self._group.reachable_endpoints
             if endpoint.id not in self._refused
-            and (endpoint.id != self._takeover.old or not handover)
         }
         marks = {
             name: mark for name, mark in received.items() if mark is not None
         }
-        if not marks:
-            return None
         return max(
             marks,
-            key=lambda name: (marks[name], self._is_staying(name)),
+            key=lambda name: (
+                not (handover and name == self._takeover.old),
+                marks[name],
+                self._is_staying(name),
+            ),
+            default=None,
         )
 
     async def _knows_every_commit(self, stopped_at: float) -> bool:
--- a/packages/cowslipfork-direct/tests/takeover/test_lost_processes.py
+++ b/packages/cowslipfork-direct/tests/takeover/test_lost_processes.py
@@ -4,6 +4,7 @@
 import math
 
 import pytest
+from direct_fakes import servers
 from direct_fakes.history import History
 from direct_fakes.restore import now, replace_primary, write, write_until
 from direct_fakes.world import run, world
@@ -113,3 +114,30 @@
     cluster, history = run(main())
     assert cluster.orders == []
     assert history.done > 100
+
+
+def test_a_demoted_primary_leads_again_if_all_replicas_are_lost(monkeypatch):
+    """Guards against a group without a primary while one server is sound."""
+
+    async def main():
+        async with world(nodes=3) as cluster:
+            demote = servers.FakeLink.demote
+            demoted = asyncio.Event()
+
+            async def lose_replicas(link, term):
+                status = await demote(link, term)
+                for name in ('e2', 'e3'):
+                    cluster.servers[name].blocked = True
+                demoted.set()
+                return status
+
+            monkeypatch.setattr(servers.FakeLink, 'demote', lose_replicas)
+            await cluster.kill_node('n3')
+            primary = cluster.servers['e1']
+            primary.leaving = True
+            cluster.list_server(primary)
+            await demoted.wait()
+            begun = now()
+            return await served_at(cluster, 'n1') - begun
+
+    assert run(main()) < RECOVERY
