--- a/packages/cowslipfork-direct/src/cowslipfork_direct/endpoint_monitor.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/endpoint_monitor.py
@@ -66,7 +66,7 @@
         self._sample_requested = asyncio.Event()
         self._statuses_requested = asyncio.Event()
         self._no_wait_until: float = 0
-        self._word_needed: LeaseNeed | None = None
+        self._leader_status_need: LeaseNeed | None = None
         self._waiting_for_lease = 0
 
     def request_lease_renewal(self) -> None:
@@ -127,9 +127,9 @@
         return False
 
     def _request_proof(self, need: LeaseNeed) -> None:
-        """Requests a renewal of the lease and a missing word of the primary."""
-        if self._group.leader_lease.needs_word(need):
-            self._word_needed = need
+        """Requests what the leader lease lacks to satisfy a need."""
+        if self._group.leader_lease.needs_leader_status(need):
+            self._leader_status_need = need
         self._renewal_requested.set()
 
     async def lease_available(self, leader: Leader, need: LeaseNeed) -> bool:
@@ -305,13 +305,18 @@
 
     @property
     def _proof_missing(self) -> bool:
-        return self._group.leader_lease.renewal_due or self._word_missing
+        return (
+            self._group.leader_lease.renewal_due or self._leader_status_missing
+        )
 
     @property
-    def _word_missing(self) -> bool:
-        """Whether a statement waits for the primary's word that it leads."""
-        need = self._word_needed
-        return need is not None and self._group.leader_lease.needs_word(need)
+    def _leader_status_missing(self) -> bool:
+        """Whether a statement waits for a status of the primary itself."""
+        need = self._leader_status_need
+        return (
+            need is not None
+            and self._group.leader_lease.needs_leader_status(need)
+        )
 
     async def _extend_lease(self) -> None:
         needed = self._group.confirmations_needed
@@ -324,7 +329,7 @@
     async def _ask_leader(self) -> None:
         leader = self._group.leader
         endpoint = leader and self._group.endpoints.get(leader.endpoint)
-        if endpoint and self._word_missing:
+        if endpoint and self._leader_status_missing:
             await self.inspect(endpoint)
 
     async def _inspect_all(self, endpoints: Iterable[Endpoint]) -> None:
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/group.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/group.py
@@ -225,7 +225,7 @@
             self._uninspected.set()
         for name in changes.outdated:
             self.forget(name)
-        if changes.notable:
+        if changes.leaving_changed:
             self._notify_change()
         self.set_link_quota(self._link_quota)
         return changes.added
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/group_endpoints.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/group_endpoints.py
@@ -29,13 +29,13 @@
         added: endpoints that are new.
         outdated: endpoints whose last status does not count any more: they
             left, or report another role.
-        notable: whether an endpoint announces that it leaves, or takes that
-            back.
+        leaving_changed: whether an endpoint announces that it leaves, or takes
+            that back.
     """
 
     added: tuple[Endpoint, ...]
     outdated: tuple[EndpointId, ...]
-    notable: bool
+    leaving_changed: bool
 
 
 class GroupEndpoints:
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/leader_lease.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/leader_lease.py
@@ -6,10 +6,10 @@
 - A renewal of this node's lease in the store. A promotion first ends the
   leases of all nodes that have not acknowledged that they stopped, and waits
   until what the last renewal proved has expired.
-- Statuses of enough replicas, none of which is fenced, together with the word
+- Statuses of enough replicas, none of which is fenced, together with a status
   of the primary itself. A promotion either demotes the primary, which then no
-  longer says that it leads, or fences all replicas and waits until what their
-  last statuses proved has expired.
+  longer reports that it leads, or fences all replicas and waits until what
+  their last statuses proved has expired.
 
 So while a leader lease is valid there is no other primary.
 """
@@ -40,8 +40,8 @@
 
     Attributes:
         moment: time at which no other endpoint may have been promoted.
-        leading_at: earliest time of which the primary's word that it leads
-            counts; minus infinity for work that a demoted primary refuses.
+        leading_at: time since which the primary must have shown that it
+            leads; minus infinity for work that a demoted primary refuses.
     """
 
     moment: float
@@ -95,10 +95,10 @@
         if need.moment < self._renewed_until:
             return True
         confirmed = need.moment < self._confirmed_until
-        return confirmed and not self.needs_word(need)
+        return confirmed and not self.needs_leader_status(need)
 
-    def needs_word(self, need: LeaseNeed) -> bool:
-        """Returns whether the primary itself has yet to say that it leads."""
+    def needs_leader_status(self, need: LeaseNeed) -> bool:
+        """Returns whether the primary itself has yet to show that it leads."""
         renewed = need.moment < self._renewed_until
         return not renewed and need.leading_at > self._leading_at
 
@@ -114,7 +114,7 @@
     def confirm(self, begun: float, validity: float) -> None:
         """Extends the lease after statuses of replicas; never shortens it.
 
-        It also needs the primary's word, see ``note_leading``.
+        It also needs a status of the primary, see ``note_leading``.
 
         Args:
             begun: time just before the earliest of the requests.
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/primary_supervisor.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/primary_supervisor.py
@@ -126,7 +126,7 @@
         """Returns whether the primary is leaving and a candidate exists."""
         leader = self._group.leader
         cached = self._context.takeover_cache.takeover(self._group.name)
-        if leader is None or _was_abandoned_now(cached):
+        if leader is None or _was_abandoned_recently(cached):
             return False
         listed = self._group.endpoints[leader.endpoint].listed
         return listed.leaving and self._has_candidate()
@@ -273,8 +273,8 @@
             await asyncio.sleep(FAILED_TAKEOVER_PAUSE)
 
 
-def _was_abandoned_now(cached: CachedTakeover | None) -> bool:
-    """Returns whether callers have only just been given their primary back."""
+def _was_abandoned_recently(cached: CachedTakeover | None) -> bool:
+    """Returns whether the last takeover was abandoned a moment ago."""
     if cached is None:
         return False
     abandoned = cached.takeover.phase is TakeoverPhase.ABANDONED
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/promoter.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/promoter.py
@@ -189,12 +189,12 @@
             for endpoint in self._group.endpoints.values()
             if endpoint.id != self._takeover.old
         ]
-        silent = [
+        unanswered = [
             endpoint
             for endpoint in replicas
             if self._received_since(endpoint.id, stopped_at) is None
         ]
-        await asyncio.gather(*map(self._endpoint_monitor.inspect, silent))
+        await asyncio.gather(*map(self._endpoint_monitor.inspect, unanswered))
         known = [
             endpoint
             for endpoint in replicas
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/takeover_table.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/takeover_table.py
@@ -132,7 +132,7 @@
         _LOST_PROCESSES,
     ),
     Mutant(
-        'direct: a fresh read needs the word of the primary itself',
+        'direct: a fresh read needs a status of the primary itself',
         _DIRECT / 'leader_lease.py',
         'return not renewed and need.leading_at > self._leading_at',
         'return not renewed and need.leading_at > math.inf',
