Tests that see four mechanisms switched off

New tests for each; the wait for confirmations needs six moments of the failover to be seen.

No source changes.

--- a/packages/cowslipfork-direct/tests/takeover/test_demoted_primary.py
+++ b/packages/cowslipfork-direct/tests/takeover/test_demoted_primary.py
@@ -122,6 +122,33 @@
     assert history.reads > 50
 
 
+@pytest.mark.parametrize('offset', [0, 0.05, 0.1, 0.15, 0.2, 0.25, 0.3, 0.35])
+def test_a_handover_waits_until_renewals_have_expired(offset):
+    """Guards against a promotion while a renewal still proves the old one."""
+
+    async def main():
+        async with world(nodes=3) as cluster:
+            cluster.database.promotion_delay = 0.01
+            old_primary_follows_late(cluster)
+            history = History(cluster.database)
+            until = now() + 5
+            read = read_until(cluster, history, FRESH, read_once(''), until)
+            tasks = [
+                asyncio.create_task(read),
+                asyncio.create_task(write_until(cluster, history, 'n1', until)),
+            ]
+            lose_watch(cluster)
+            await asyncio.sleep(1 + offset)
+            cluster.servers['e1'].leaving = True
+            cluster.list_server(cluster.servers['e1'])
+            await asyncio.gather(*tasks)
+            return cluster, history
+
+    cluster, history = run(main())
+    assert len(cluster.database.terms) == 2
+    assert history.find_violations() == []
+
+
 def test_a_renewal_proves_nothing_while_open_work_ends():
     """Guards against a lease that outlives a takeover known to the node."""
 
--- a/packages/cowslipfork-direct/tests/takeover/test_lost_processes.py
+++ b/packages/cowslipfork-direct/tests/takeover/test_lost_processes.py
@@ -64,6 +64,19 @@
     assert run(main()) < RECOVERY
 
 
+def test_survivors_and_restarted_nodes_are_a_majority_together():
+    """Guards against suspicions that never agree on the primary."""
+
+    async def main():
+        async with world(nodes=4) as cluster:
+            await write(cluster, 'n3')
+            await write(cluster, 'n4')
+            back = await lose_primary_and_nodes(cluster, ['n1', 'n2'])
+            return await served_at(cluster, 'n3') - back
+
+    assert run(main()) < RECOVERY
+
+
 @pytest.mark.parametrize('lapses', [False, True])
 def test_a_node_that_stays_away_does_not_prevent_the_takeover(lapses):
     """Guards against a wait for a process that is never started again."""
--- a/packages/cowslipfork-direct/tests/takeover/test_store_outage.py
+++ b/packages/cowslipfork-direct/tests/takeover/test_store_outage.py
@@ -162,3 +162,22 @@
             await cluster.close()
 
     assert run(main()) == []
+
+
+def test_nodes_whose_lease_has_just_lapsed_are_electors():
+    """Guards against a majority of the one node that registered first."""
+
+    async def main():
+        async with world(nodes=3) as cluster:
+            cluster.node_partitions = {('n1', 'n2'), ('n1', 'n3')}
+            for name in ('n2', 'n3'):
+                cluster.stores[name].blocked = True
+                lease = cluster.nodes[name]._registration.lease
+                await cluster.store.end(lease)
+            electors = cluster.nodes['n1']._placement.electors
+            await asyncio.sleep(REREGISTRATION_TIME - 0.5)
+            soon = electors('g')
+            await asyncio.sleep(1)
+            return soon, electors('g')
+
+    assert run(main()) == ({'n1', 'n2', 'n3'}, {'n1'})
--- a/packages/cowslipfork-direct/tests/test_mechanisms.py
+++ b/packages/cowslipfork-direct/tests/test_mechanisms.py
@@ -4,6 +4,7 @@
 import itertools
 import time
 
+import pytest
 from direct_fakes.history import History
 from direct_fakes.world import AGED, FRESH, run, statement, world
 
@@ -79,6 +80,31 @@
     assert history.find_violations() == []
 
 
+@pytest.mark.parametrize('offset', [0, 0.03, 0.06, 0.09, 0.12, 0.15])
+def test_a_promotion_waits_for_confirmations_of_a_node_without_a_lease(offset):
+    """Guards against a primary that servers confirmed a moment ago."""
+
+    async def main():
+        async with world(nodes=3) as cluster:
+            cluster.database.promotion_delay = 0.01
+            history = History(cluster.database)
+            cluster.stores['n3'].blocked = True
+            cluster.node_partitions = {('n3', 'n1'), ('n3', 'n2')}
+            writing = asyncio.create_task(
+                write_repeatedly(cluster, history, 'n3', 9)
+            )
+            await asyncio.sleep(4 + offset)
+            cluster.database.partitions = {('e1', 'e2'), ('e1', 'e3')}
+            cluster.blocked_paths = {('n1', 'e1'), ('n2', 'e1')}
+            await write_repeatedly(cluster, history, 'n1', 4)
+            await writing
+            return cluster, history
+
+    cluster, history = run(main())
+    assert len(cluster.database.terms) == 2
+    assert history.find_violations() == []
+
+
 def test_no_promotion_while_an_isolated_node_may_hold_a_majority():
     async def main():
         async with world(nodes=3) as cluster:
