--- a/packages/cowslipfork-direct/src/cowslipfork_direct/group_endpoints.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/group_endpoints.py
@@ -147,17 +147,15 @@
         ]
         for known in before:
             self._by_id[known].listed = entries[known]
+        in_other_role = [
+            name
+            for name, entry in before.items()
+            if entry.role is not entries[name].role
+        ]
         return ListingChanges(
             tuple(added),
-            (
-                *dropped,
-                *(
-                    name
-                    for name, entry in before.items()
-                    if entry.role is not entries[name].role
-                ),
-            ),
-            any(
+            (*dropped, *in_other_role),
+            leaving_changed=any(
                 entry.leaving is not entries[name].leaving
                 for name, entry in before.items()
             ),
--- a/packages/cowslipfork-direct/tests/takeover/test_demoted_primary.py
+++ b/packages/cowslipfork-direct/tests/takeover/test_demoted_primary.py
@@ -76,6 +76,12 @@
         await asyncio.sleep(0.02)
 
 
+def replace_planned(cluster):
+    server = cluster.servers['e1']
+    server.leaving = True
+    cluster.list_server(server)
+
+
 def old_primary_follows_late(cluster):
     """Has the demoted server follow its successor after ``LAG`` only."""
     replicate = cluster.database._replicate_from
@@ -111,8 +117,7 @@
             await asyncio.sleep(1)
             lose(cluster)
             await asyncio.sleep(0.5)
-            cluster.servers['e1'].leaving = True
-            cluster.list_server(cluster.servers['e1'])
+            replace_planned(cluster)
             await asyncio.gather(*tasks)
             return cluster, history
 
@@ -139,8 +144,7 @@
             ]
             lose_watch(cluster)
             await asyncio.sleep(1 + offset)
-            cluster.servers['e1'].leaving = True
-            cluster.list_server(cluster.servers['e1'])
+            replace_planned(cluster)
             await asyncio.gather(*tasks)
             return cluster, history
 
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/takeover_table.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/takeover_table.py
@@ -175,4 +175,18 @@
         'if served.writes:',
         _DEMOTED,
     ),
+    Mutant(
+        'direct: an old list of endpoints needs all replicas',
+        _DIRECT / 'group_endpoints.py',
+        'return max(1, others if outdated else len(self._by_id) // 2)',
+        'return max(1, len(self._by_id) // 2)',
+        'packages/cowslipfork-direct/tests/test_group_endpoints.py',
+    ),
+    Mutant(
+        'direct: one replica at least confirms a primary',
+        _DIRECT / 'group_endpoints.py',
+        'return max(1, others if outdated else len(self._by_id) // 2)',
+        'return others if outdated else len(self._by_id) // 2',
+        'packages/cowslipfork-direct/tests/test_group_endpoints.py',
+    ),
 )
