--- a/packages/cowslipfork-direct/src/cowslipfork_direct/commands.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/commands.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import TypeAlias
 
-from cowslipfork.ids import Mark
+from cowslipfork.ids import Mark, Term
 from cowslipfork_direct.statements import Prepared, Statement, StatementName
 
 
@@ -79,6 +79,48 @@
     prepared: Prepared
 
 
+@dataclass(frozen=True, slots=True)
+class Forget:
+    """Removes a prepared statement."""
+
+    name: StatementName
+
+
+@dataclass(frozen=True, slots=True)
+class RequestStatus:
+    """Requests the endpoint's status."""
+
+
+@dataclass(frozen=True, slots=True)
+class Hold:
+    """Stops replication to a replica until a promotion to the term."""
+
+    term: Term
+
+
+@dataclass(frozen=True, slots=True)
+class Resume:
+    """Resumes replication to a replica."""
+
+
+@dataclass(frozen=True, slots=True)
+class Demote:
+    """Turns a primary of a lower term into a replica."""
+
+    term: Term
+
+
+#: Commands that are answered with the endpoint's status.
+ControlCommand: TypeAlias = RequestStatus | Hold | Resume | Demote
+
 Command: TypeAlias = (
-    Run | Execute | Begin | Rollback | Reset | SetValue | Prepare
+    Run
+    | Execute
+    | Begin
+    | Rollback
+    | Reset
+    | SetValue
+    | Prepare
+    | Forget
+    | ControlCommand
 )
