--- a/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/table.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/table.py
@@ -5,6 +5,7 @@
 from pathlib import PurePosixPath
 from typing import Final
 
+from cowslipfork_lab.mutants.answer_table import ANSWER_MUTANTS
 from cowslipfork_lab.mutants.direct_table import DIRECT_MUTANTS
 from cowslipfork_lab.mutants.mutant import Mutant
 from cowslipfork_lab.mutants.sharing_table import SHARING_MUTANTS
@@ -331,6 +332,7 @@
         'if capacity >= 0',
         f'{_RATE_LIMITS_TESTS}/test_fleet.py',
     ),
+    *ANSWER_MUTANTS,
     *DIRECT_MUTANTS,
     *STORE_MUTANTS,
     *TAKEOVER_MUTANTS,
