--- a/packages/cowslipfork-direct/src/cowslipfork_direct/http_client.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/http_client.py
@@ -165,9 +165,8 @@
     async def _acquire(self) -> HttpConnection:
         while self._idle:
             connection = self._idle.pop()
-            if connection.usable:
+            if await _is_reusable(connection):
                 return connection
-            connection.close()
         reader, writer = await dial(self._address, self._via)
         host = f'{self._address.host}:{self._address.port}'
         return HttpConnection(reader, writer, host)
@@ -179,3 +178,14 @@
             self._idle.append(connection)
         else:
             connection.abort()
+
+
+async def _is_reusable(connection: HttpConnection) -> bool:
+    """Aborts a connection that can carry no other request."""
+    reusable = False
+    try:
+        reusable = connection.usable and await connection.is_silent()
+    finally:
+        if not reusable:
+            connection.abort()
+    return reusable
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/http_connection.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/http_connection.py
@@ -81,13 +81,23 @@
 
     @property
     def usable(self) -> bool:
-        """Whether another request can be sent on this connection."""
+        """Whether the last exchange left this connection open for another."""
         return (
             self._state.our_state is h11.IDLE
             and not self._reader.at_eof()
             and not self._writer.is_closing()
         )
 
+    async def is_silent(self) -> bool:
+        """Tells whether nothing has arrived since the last response.
+
+        Whatever arrives while no request is outstanding, the end of the
+        connection included, answers no later request.
+        """
+        # While the first read waits, the event loop reads from the socket.
+        has_input = await self._has_input()
+        return not (has_input or await self._has_input())
+
     def close(self) -> None:
         """Closes once all bytes are sent."""
         self._writer.close()
@@ -129,10 +139,22 @@
         )
         self._max_size = max_size
         reply = await self._read_response(on_received)
-        if self._state.our_state is h11.DONE:
+        surplus, _ = self._state.trailing_data
+        if self._state.our_state is h11.DONE and not surplus:
             self._state.start_next_cycle()
         return reply
 
+    async def _has_input(self) -> bool:
+        """Tells whether a read ends at once: with bytes, an end or an error."""
+        try:
+            async with asyncio.timeout(0):
+                await self._reader.read(1)
+        except TimeoutError:
+            return False
+        except OSError:
+            return True
+        return True
+
     async def _read_response(
         self, on_received: Callable[[], None]
     ) -> HttpReply:
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/answer_table.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/answer_table.py
@@ -8,6 +8,10 @@
 from cowslipfork_lab.mutants.mutant import Mutant
 
 _PLATFORM: Final = PurePosixPath('platform/src/cowslipfork_platform')
+_DIRECT: Final = PurePosixPath(
+    'packages/cowslipfork-direct/src/cowslipfork_direct'
+)
+_HTTP_TESTS: Final = 'packages/cowslipfork-direct/tests/test_http_client.py'
 _PLATFORM_TESTS: Final = '-c platform/pyproject.toml platform/tests'
 
 ANSWER_MUTANTS: Final = (
@@ -25,4 +29,25 @@
         'line.rstrip(_TERMINATOR)',
         f'{_PLATFORM_TESTS}/test_line_protocol.py',
     ),
+    Mutant(
+        'http: bytes after a response end its connection',
+        _DIRECT / 'http_connection.py',
+        'h11.DONE and not surplus',
+        'h11.DONE',
+        _HTTP_TESTS,
+    ),
+    Mutant(
+        'http: bytes on an idle connection end it',
+        _DIRECT / 'http_client.py',
+        'connection.usable and await connection.is_silent()',
+        'connection.usable',
+        _HTTP_TESTS,
+    ),
+    Mutant(
+        'http: an idle connection is read before it carries a request',
+        _DIRECT / 'http_connection.py',
+        'has_input or await self._has_input()',
+        'has_input',
+        _HTTP_TESTS,
+    ),
 )
