An interim response (1xx) does not lose the response that follows it

Seen by callers: a call whose server sent 100 or 103 first failed as lost, with "connection closed before the end of the response".

Cause: the client read an interim response as the end of the connection.

Evidence: test_an_interim_response_is_not_the_response failed for both statuses FAILED ...is_not_the_response[100 Continue] FAILED ...is_not_the_response[103 Early Hints]

Result: both cases pass, the connection is kept.

--- a/packages/cowslipfork-direct/src/cowslipfork_direct/http_connection.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/http_connection.py
@@ -14,6 +14,8 @@
 #: Most bytes read from a socket at a time.
 _READ_SIZE: Final = 65_536
 
+_CLOSED_EARLY: Final = 'connection closed before the end of the response'
+
 
 @dataclass(frozen=True, slots=True)
 class HttpReply:
@@ -158,27 +160,29 @@
     async def _read_response(
         self, on_received: Callable[[], None]
     ) -> HttpReply:
-        status = 0
-        headers: dict[str, str] = {}
+        head = await self._read_head(on_received)
+        headers = {
+            name.decode(): text.decode('latin-1') for name, text in head.headers
+        }
+        length = headers.get('content-length', '')
+        self._ensure_short(int(length) if length.isdecimal() else 0)
         parts: list[bytes] = []
         event = await self._next_event(on_received)
-        while not isinstance(event, h11.EndOfMessage):
-            if isinstance(event, h11.Response):
-                status = event.status_code
-                headers = {
-                    name.decode(): text.decode('latin-1')
-                    for name, text in event.headers
-                }
-                length = headers.get('content-length', '')
-                self._ensure_short(int(length) if length.isdecimal() else 0)
-            elif isinstance(event, h11.Data):
-                parts.append(bytes(event.data))
-            else:
-                raise h11.RemoteProtocolError(
-                    'connection closed before the end of the response'
-                )
+        while isinstance(event, h11.Data):
+            parts.append(bytes(event.data))
             event = await self._next_event(on_received)
-        return HttpReply(status, b''.join(parts), headers)
+        if not isinstance(event, h11.EndOfMessage):
+            raise h11.RemoteProtocolError(_CLOSED_EARLY)
+        return HttpReply(head.status_code, b''.join(parts), headers)
+
+    async def _read_head(self, on_received: Callable[[], None]) -> h11.Response:
+        """Reads the start of a response; interim responses are skipped."""
+        event = await self._next_event(on_received)
+        while isinstance(event, h11.InformationalResponse):
+            event = await self._next_event(on_received)
+        if not isinstance(event, h11.Response):
+            raise h11.RemoteProtocolError(_CLOSED_EARLY)
+        return event
 
     async def _next_event(self, on_received: Callable[[], None]) -> object:
         event = self._state.next_event()
--- a/packages/cowslipfork-direct/tests/test_http_client.py
+++ b/packages/cowslipfork-direct/tests/test_http_client.py
@@ -157,6 +157,18 @@
         assert server.connections == 1
 
 
+@pytest.mark.parametrize('status', [b'100 Continue', b'103 Early Hints'])
+async def test_an_interim_response_is_not_the_response(status):
+    async def interim(path, writer):
+        writer.write(b'HTTP/1.1 ' + status + b'\r\nLink: </x>\r\n\r\n')
+        writer.write(response(path.encode()))
+
+    async with scripted(interim) as server:
+        client = client_of(server)
+        assert [await ask(client, path) for path in 'ab'] == list('ab')
+        assert server.connections == 1
+
+
 async def test_a_response_without_a_length_ends_with_its_connection():
     async def unframed(path, writer):
         writer.write(b'HTTP/1.1 200 OK\r\n\r\n' + path.encode())
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/answer_table.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/answer_table.py
@@ -50,4 +50,11 @@
         'has_input',
         _HTTP_TESTS,
     ),
+    Mutant(
+        'http: an interim response is followed by the response',
+        _DIRECT / 'http_connection.py',
+        'while isinstance(event, h11.InformationalResponse):',
+        'while False:',
+        _HTTP_TESTS,
+    ),
 )
