--- a/packages/cowslipfork-direct/src/cowslipfork_direct/http_client.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/http_client.py
@@ -4,8 +4,9 @@
 
 import asyncio
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Final
+from typing import Final, TypeVar
 
 import h11
 
@@ -21,6 +22,8 @@
 #: Most idle connections that a client keeps open.
 _MAX_IDLE: Final = 2
 
+_Answer = TypeVar('_Answer')
+
 
 @dataclass(frozen=True, slots=True)
 class ResponseLimits:
@@ -104,23 +107,19 @@
 
     async def request(
         self,
-        method: str,
-        path: str,
-        body: bytes,
+        request: HttpRequest,
         limits: ResponseLimits,
-        headers: tuple[tuple[str, str], ...] = (),
-    ) -> HttpReply:
+        read: Callable[[HttpReply], _Answer],
+    ) -> _Answer:
         """Sends one request and reads its response.
 
         Args:
-            method: HTTP method.
-            path: path and query.
-            body: request body; empty for none.
+            request: the request.
             limits: limits of the response.
-            headers: additional headers.
+            read: decodes the response; its errors are raised.
 
         Returns:
-            The complete response.
+            What ``read`` returned.
 
         Raises:
             HttpNotSent: no connection could be opened.
@@ -136,16 +135,18 @@
                 asyncio.timeout(limits.start) as stall,
             ):
                 connection = await self._acquire()
-                return await connection.exchange(
-                    HttpRequest(method, path, body, headers),
+                reply = await connection.exchange(
+                    request,
                     limits.size,
                     lambda: stall.reschedule(clock() + limits.progress),
                 )
+            return read(reply)
         except ResponseTooLong as error:
             received = 0 if connection is None else connection.received
             raise HttpResponseTooLong(str(error), received) from error
         except _CONNECTION_ERRORS as error:
-            cause = f'{method} {path}: {str(error) or type(error).__name__}'
+            detail = str(error) or type(error).__name__
+            cause = f'{request.method} {request.path}: {detail}'
             if connection is None:
                 raise HttpNotSent(cause) from error
             # What made this connection silent may have met the others too.
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/http_connection.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/http_connection.py
@@ -49,8 +49,8 @@
 
     method: str
     path: str
-    body: bytes
-    headers: tuple[tuple[str, str], ...]
+    body: bytes = b''
+    headers: tuple[tuple[str, str], ...] = ()
 
 
 class HttpConnection:
--- a/packages/cowslipfork-direct/tests/test_http_client.py
+++ b/packages/cowslipfork-direct/tests/test_http_client.py
@@ -12,6 +12,7 @@
     HttpResponseLost,
     within,
 )
+from cowslipfork_direct.http_connection import HttpRequest
 from cowslipfork_direct.relay import Address
 
 #: Seconds after which a second copy arrives on an idle connection.
@@ -71,9 +72,10 @@
 
 
 async def ask(client, path, seconds=1.0):
-    return (
-        await client.request('GET', f'/{path}', b'', within(seconds))
-    ).body.decode()
+    reply = await client.request(
+        HttpRequest('GET', f'/{path}'), within(seconds), lambda reply: reply
+    )
+    return reply.body.decode()
 
 
 async def test_a_second_copy_in_one_piece_answers_no_later_request():
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/answer_table.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/answer_table.py
@@ -57,4 +57,18 @@
         'while False:',
         _HTTP_TESTS,
     ),
+    Mutant(
+        'store: a status that tells no result leaves a swap uncertain',
+        _DIRECT / 'store_answers.py',
+        'refused = status in _REFUSED or status == _UNAVAILABLE',
+        'refused = True',
+        f'{_PLATFORM_TESTS}/test_late_answers.py',
+    ),
+    Mutant(
+        'store: an unreadable answer leaves a swap uncertain',
+        _PLATFORM / 'store.py',
+        "raise lost_answer_error(\n            operation, f'unreadable",
+        "raise lost_answer_error(\n            'get', f'unreadable",
+        f'{_PLATFORM_TESTS}/test_late_answers.py',
+    ),
 )
