--- a/packages/cowslipfork-direct/src/cowslipfork_direct/http_client.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/http_client.py
@@ -22,6 +22,8 @@
 #: Most idle connections that a client keeps open.
 _MAX_IDLE: Final = 2
 
+_OK: Final = 200
+
 _Answer = TypeVar('_Answer')
 
 
@@ -113,6 +115,10 @@
     ) -> _Answer:
         """Sends one request and reads its response.
 
+        The connection carries another request only if the status is 200 and
+        the response was read without an error: whatever arrives late on the
+        connection of a refusal then refuses no later request.
+
         Args:
             request: the request.
             limits: limits of the response.
@@ -129,6 +135,7 @@
         """
         clock = asyncio.get_running_loop().time
         connection: HttpConnection | None = None
+        reusable = False
         try:
             async with (
                 asyncio.timeout(limits.total),
@@ -140,7 +147,9 @@
                     limits.size,
                     lambda: stall.reschedule(clock() + limits.progress),
                 )
-            return read(reply)
+            answer = read(reply)
+            reusable = reply.status == _OK
+            return answer
         except ResponseTooLong as error:
             received = 0 if connection is None else connection.received
             raise HttpResponseTooLong(str(error), received) from error
@@ -156,7 +165,7 @@
                 cause, connection.received, closed=closed
             ) from error
         finally:
-            self._release(connection)
+            self._release(connection, reusable=reusable)
 
     def close(self) -> None:
         """Closes idle connections."""
@@ -172,10 +181,12 @@
         host = f'{self._address.host}:{self._address.port}'
         return HttpConnection(reader, writer, host)
 
-    def _release(self, connection: HttpConnection | None) -> None:
+    def _release(
+        self, connection: HttpConnection | None, *, reusable: bool
+    ) -> None:
         if connection is None:
             return
-        if connection.usable and len(self._idle) < _MAX_IDLE:
+        if reusable and connection.usable and len(self._idle) < _MAX_IDLE:
             self._idle.append(connection)
         else:
             connection.abort()
--- a/packages/cowslipfork-direct/tests/test_http_client.py
+++ b/packages/cowslipfork-direct/tests/test_http_client.py
@@ -230,3 +230,32 @@
         for _ in range(20):
             await asyncio.gather(ask(client, 'a'), ask(client, 'b'))
         assert server.connections == 2
+
+
+async def test_a_refusal_ends_its_connection():
+    """Guards against a late copy that refuses a request that was served."""
+
+    async def refused(path, writer):
+        writer.write(b'HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n')
+
+    async with scripted(refused) as server:
+        client = client_of(server)
+        assert [await ask(client, path) for path in 'abc'] == [''] * 3
+        assert server.connections == 3
+
+
+@pytest.mark.parametrize('error', [OSError, ValueError])
+async def test_a_response_that_was_not_read_ends_its_connection(error):
+    async def once(path, writer):
+        writer.write(response(path.encode()))
+
+    def fail(_):
+        raise error('not asked for')
+
+    async with scripted(once) as server:
+        client = client_of(server)
+        assert await ask(client, 'a') == 'a'
+        with pytest.raises((HttpResponseLost, ValueError)):
+            await client.request(HttpRequest('GET', '/b'), within(1), fail)
+        assert await ask(client, 'c') == 'c'
+        assert server.connections == 2
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/answer_table.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/answer_table.py
@@ -57,6 +57,20 @@
         'while False:',
         _HTTP_TESTS,
     ),
+    Mutant(
+        'http: the connection of a refusal carries no other request',
+        _DIRECT / 'http_client.py',
+        'reusable = reply.status == _OK',
+        'reusable = True',
+        _HTTP_TESTS,
+    ),
+    Mutant(
+        'http: the connection of a response that does not fit is closed',
+        _DIRECT / 'http_client.py',
+        '            answer = read(reply)\n',
+        '            reusable = True\n            answer = read(reply)\n',
+        _HTTP_TESTS,
+    ),
     Mutant(
         'store: a status that tells no result leaves a swap uncertain',
         _DIRECT / 'store_answers.py',
