--- a/packages/cowslipfork-direct/src/cowslipfork_direct/http_client.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/http_client.py
@@ -78,12 +78,17 @@
     """The response is longer than the request allowed."""
 
 
+class UnexpectedResponse(CowslipforkError):
+    """A response that does not fit its request; it may be that to another."""
+
+
 #: Errors of opening a connection and of an exchange on it.
 _CONNECTION_ERRORS: Final = (
     OSError,
     TimeoutError,
     RelayFailed,
     h11.ProtocolError,
+    UnexpectedResponse,
 )
 
 
@@ -122,15 +127,16 @@
         Args:
             request: the request.
             limits: limits of the response.
-            read: decodes the response; its errors are raised.
+            read: decodes the response; raises ``UnexpectedResponse`` if it
+                does not fit the request, and any other error as it likes.
 
         Returns:
             What ``read`` returned.
 
         Raises:
             HttpNotSent: no connection could be opened.
-            HttpResponseLost: the connection broke, or a time limit passed
-                after it was opened.
+            HttpResponseLost: the connection broke, a time limit passed after
+                it was opened, or the response does not fit the request.
             HttpResponseTooLong: the response exceeds the limit of its size.
         """
         clock = asyncio.get_running_loop().time
@@ -160,7 +166,7 @@
                 raise HttpNotSent(cause) from error
             # What made this connection silent may have met the others too.
             self.close()
-            closed = not isinstance(error, TimeoutError)
+            closed = not isinstance(error, TimeoutError | UnexpectedResponse)
             raise HttpResponseLost(
                 cause, connection.received, closed=closed
             ) from error
--- a/packages/cowslipfork-direct/tests/test_http_client.py
+++ b/packages/cowslipfork-direct/tests/test_http_client.py
@@ -10,6 +10,7 @@
 from cowslipfork_direct.http_client import (
     HttpClient,
     HttpResponseLost,
+    UnexpectedResponse,
     within,
 )
 from cowslipfork_direct.http_connection import HttpRequest
@@ -244,7 +245,7 @@
         assert server.connections == 3
 
 
-@pytest.mark.parametrize('error', [OSError, ValueError])
+@pytest.mark.parametrize('error', [UnexpectedResponse, OSError, ValueError])
 async def test_a_response_that_was_not_read_ends_its_connection(error):
     async def once(path, writer):
         writer.write(response(path.encode()))
