--- a/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/answer_table.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/answer_table.py
@@ -176,4 +176,11 @@
         'if False:',
         f'{_PLATFORM_TESTS}/test_late_answers.py',
     ),
+    Mutant(
+        'orders: an order has a connection of its own',
+        _PLATFORM / 'promotion.py',
+        '            self._http.close()',
+        '            pass',
+        f'{_PLATFORM_TESTS}/test_promotion.py',
+    ),
 )
