--- a/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/answer_table.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/answer_table.py
@@ -183,4 +183,11 @@
         '            pass',
         f'{_PLATFORM_TESTS}/test_promotion.py',
     ),
+    Mutant(
+        'pages: the answer to HEAD has no body',
+        _PLATFORM / 'pages.py',
+        'page.content if has_body else',
+        'page.content if page else',
+        f'{_PLATFORM_TESTS}/test_pages.py',
+    ),
 )
