--- a/packages/cowslipfork-direct/src/cowslipfork_direct/http_connection.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/http_connection.py
@@ -14,6 +14,8 @@
 #: Most bytes read from a socket at a time.
 _READ_SIZE: Final = 65_536
 
+_CLOSED_EARLY: Final = 'connection closed before the end of the response'
+
 
 @dataclass(frozen=True, slots=True)
 class HttpReply:
@@ -47,8 +49,8 @@
 
     method: str
     path: str
-    body: bytes
-    headers: tuple[tuple[str, str], ...]
+    body: bytes = b''
+    headers: tuple[tuple[str, str], ...] = ()
 
 
 class HttpConnection:
@@ -81,13 +83,23 @@
 
     @property
     def usable(self) -> bool:
-        """Whether another request can be sent on this connection."""
+        """Whether the last exchange left this connection open for another."""
         return (
             self._state.our_state is h11.IDLE
             and not self._reader.at_eof()
             and not self._writer.is_closing()
         )
 
+    async def is_silent(self) -> bool:
+        """Tells whether nothing has arrived since the last response.
+
+        Whatever arrives while no request is outstanding, the end of the
+        connection included, answers no later request.
+        """
+        # While the first read waits, the event loop reads from the socket.
+        has_input = await self._has_input()
+        return not (has_input or await self._has_input())
+
     def close(self) -> None:
         """Closes once all bytes are sent."""
         self._writer.close()
@@ -129,34 +141,48 @@
         )
         self._max_size = max_size
         reply = await self._read_response(on_received)
-        if self._state.our_state is h11.DONE:
+        surplus, _ = self._state.trailing_data
+        if self._state.our_state is h11.DONE and not surplus:
             self._state.start_next_cycle()
         return reply
 
+    async def _has_input(self) -> bool:
+        """Tells whether a read ends at once: with bytes, an end or an error."""
+        try:
+            async with asyncio.timeout(0):
+                await self._reader.read(1)
+        except TimeoutError:
+            return False
+        except OSError:
+            return True
+        return True
+
     async def _read_response(
         self, on_received: Callable[[], None]
     ) -> HttpReply:
-        status = 0
-        headers: dict[str, str] = {}
+        head = await self._read_head(on_received)
+        headers = {
+            name.decode(): text.decode('latin-1') for name, text in head.headers
+        }
+        length = headers.get('content-length', '')
+        self._ensure_short(int(length) if length.isdecimal() else 0)
         parts: list[bytes] = []
         event = await self._next_event(on_received)
-        while not isinstance(event, h11.EndOfMessage):
-            if isinstance(event, h11.Response):
-                status = event.status_code
-                headers = {
-                    name.decode(): text.decode('latin-1')
-                    for name, text in event.headers
-                }
-                length = headers.get('content-length', '')
-                self._ensure_short(int(length) if length.isdecimal() else 0)
-            elif isinstance(event, h11.Data):
-                parts.append(bytes(event.data))
-            else:
-                raise h11.RemoteProtocolError(
-                    'connection closed before the end of the response'
-                )
+        while isinstance(event, h11.Data):
+            parts.append(bytes(event.data))
             event = await self._next_event(on_received)
-        return HttpReply(status, b''.join(parts), headers)
+        if not isinstance(event, h11.EndOfMessage):
+            raise h11.RemoteProtocolError(_CLOSED_EARLY)
+        return HttpReply(head.status_code, b''.join(parts), headers)
+
+    async def _read_head(self, on_received: Callable[[], None]) -> h11.Response:
+        """Reads the start of a response; interim responses are skipped."""
+        event = await self._next_event(on_received)
+        while isinstance(event, h11.InformationalResponse):
+            event = await self._next_event(on_received)
+        if not isinstance(event, h11.Response):
+            raise h11.RemoteProtocolError(_CLOSED_EARLY)
+        return event
 
     async def _next_event(self, on_received: Callable[[], None]) -> object:
         event = self._state.next_event()
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/table.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/table.py
@@ -7,6 +7,7 @@
 
 from cowslipfork_lab.mutants.answer_table import ANSWER_MUTANTS
 from cowslipfork_lab.mutants.direct_table import DIRECT_MUTANTS
+from cowslipfork_lab.mutants.http_table import HTTP_MUTANTS
 from cowslipfork_lab.mutants.mutant import Mutant
 from cowslipfork_lab.mutants.sharing_table import SHARING_MUTANTS
 from cowslipfork_lab.mutants.store_table import STORE_MUTANTS
@@ -334,6 +335,7 @@
     ),
     *ANSWER_MUTANTS,
     *DIRECT_MUTANTS,
+    *HTTP_MUTANTS,
     *STORE_MUTANTS,
     *TAKEOVER_MUTANTS,
     *SHARING_MUTANTS,
