A repeated answer that is all there is ends the connection at once

Cause: since an answer whose signature and rows were seen before was dropped and the next one awaited. A server that signs two statements alike (our stand-in does for equal ids) sends no other: the statement waited until its time-out, seen as a test that hung.

Change: such an answer is followed by the probe, like a refusal. If nothing else came before the probe's answers, the connection is lost at once; the repeated answer itself is never used. On a connection that already showed copies it is dropped as before.

--- a/packages/cowslipfork-direct/src/cowslipfork_direct/exchange.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/exchange.py
@@ -114,7 +114,8 @@
             match = self._matcher.match(command, reply)
             if match is not Match.ANSWER:
                 self._record(match, command, reply)
-            if match is Match.SURPLUS:
+            if match is Match.SURPLUS or self._is_copy(match, reply):
+                self._copies_seen = True
                 continue
             if match is Match.REPEATED and isinstance(command, Run | Execute):
                 reply = await self._probe(command, reply)
@@ -122,6 +123,11 @@
             return reply
         raise LinkLost(self._endpoint, 'too many replies without a command')
 
+    def _is_copy(self, match: Match, reply: EndpointReply) -> bool:
+        """Returns whether a success is a copy on a connection with copies."""
+        success = reply.code is ReplyCode.DONE
+        return self._copies_seen and success and match is Match.REPEATED
+
     def _ensure_answers_probe(self, reply: EndpointReply) -> None:
         """Raises if a reply to the probe shows that another one was a copy."""
         same_state = self._matcher.transaction_open is reply.transaction_open
@@ -140,6 +146,7 @@
         if self._copies_seen:
             # Copies of earlier probes could pass for the answers to this one.
             raise self._undecided()
+        self._copies_seen = first.code is ReplyCode.DONE
         self._send(PROBE)
         candidates = [first]
         answers: list[EndpointReply] = []
@@ -165,7 +172,6 @@
     def _record(
         self, match: Match, command: Command, reply: EndpointReply
     ) -> None:
-        self._copies_seen |= match is Match.SURPLUS
         self._counts[match.value] += 1
         log.info(
             'unmatched_reply',
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/reply_matching.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/reply_matching.py
@@ -33,7 +33,7 @@
 
     #: It can only be the answer.
     ANSWER = 'answer'
-    #: It may be the answer, or an earlier refusal that arrives again.
+    #: It is like an earlier reply: a refusal may be the answer all the same.
     REPEATED = 'repeated'
     #: It is not the answer.
     SURPLUS = 'surplus'
@@ -59,12 +59,10 @@
             command: the earliest command without an answer.
             reply: the next reply of the connection.
         """
-        repeated = _identity_of(reply) in self._seen
-        if reply.code is not ReplyCode.DONE:
-            return Match.REPEATED if repeated else Match.ANSWER
-        if repeated or not self._fits(command, reply):
+        if reply.code is ReplyCode.DONE and not self._fits(command, reply):
             return Match.SURPLUS
-        return Match.ANSWER
+        repeated = _identity_of(reply) in self._seen
+        return Match.REPEATED if repeated else Match.ANSWER
 
     def accept(self, reply: EndpointReply) -> None:
         """Records the reply that was taken as an answer."""
@@ -90,7 +88,9 @@
             if (match := self.match(command, reply)) is not Match.SURPLUS
         ]
         new = [reply for match, reply in fitting if match is Match.ANSWER]
-        alike = new or [reply for _, reply in fitting]
+        alike = new or [
+            reply for _, reply in fitting if reply.code is not ReplyCode.DONE
+        ]
         if len(set(map(_identity_of, alike))) != 1:
             return None
         return max(alike, key=_position_of)
--- a/packages/cowslipfork-direct/tests/fakes/direct_fakes/repeating_endpoint.py
+++ b/packages/cowslipfork-direct/tests/fakes/direct_fakes/repeating_endpoint.py
@@ -39,7 +39,9 @@
         self.answers = []
         self._fails = fails
         self._copies = iter(copies)
-        self._numbers = itertools.count(1)
+        numbers = itertools.count(1)
+        #: Returns the signature of the next answer to a data statement.
+        self.sign = lambda: f'signature {next(numbers)}'
         self._arriving = []
         self._due = {}
         self._sent = 0
@@ -89,7 +91,7 @@
         rows = ()
         signature = None
         if isinstance(command, Run | Execute):
-            signature = f'signature {next(self._numbers)}'
+            signature = self.sign()
             rows = (f'row {signature}',)
         elif isinstance(command, _CONTROL):
             rows = (f'status {self._position}',)
--- a/packages/cowslipfork-direct/tests/test_exchange.py
+++ b/packages/cowslipfork-direct/tests/test_exchange.py
@@ -83,6 +83,16 @@
     assert answer.signature != reply.signature
 
 
+async def test_the_same_answer_to_another_statement_is_not_awaited_for_ever():
+    """The server would have to sign two statements alike."""
+    endpoint = RepeatingEndpoint()
+    exchange = exchange_with(endpoint)
+    (reply,) = await exchange.run(READ)
+    endpoint.sign = lambda: reply.signature
+    with pytest.raises(LinkLost, match='answers no command'):
+        await exchange.run(READ)
+
+
 async def test_refused_late_copy_of_a_refusal_is_not_the_answer_to_a_write():
     refusals = iter([ReplyCode.BUSY])
     endpoint = RepeatingEndpoint(lambda _: next(refusals, None))
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/answer_table.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/answer_table.py
@@ -33,15 +33,15 @@
     Mutant(
         'replies: an answer seen before is dropped',
         _DIRECT / 'reply_matching.py',
-        'if repeated or not self._fits(command, reply):',
-        'if not self._fits(command, reply):',
+        'return Match.REPEATED if repeated else Match.ANSWER',
+        'return Match.ANSWER',
         _EXCHANGE,
     ),
     Mutant(
         'replies: an answer has the form that its command asks for',
         _DIRECT / 'reply_matching.py',
-        'if repeated or not self._fits(command, reply):',
-        'if repeated:',
+        'if reply.code is ReplyCode.DONE and not self._fits(command, reply):',
+        'if reply.code is None:',
         _EXCHANGE,
     ),
     Mutant(
