An address that can't exist in a registration ends no caller's connection

Seen by callers: with forwarded statements, connections that ended without an answer while the store held a registration of a node with a port above 65,535 or a zero byte in its host.

Cause: asyncio.open_connection raises OverflowError or ValueError for such an address; the peer link caught neither OverflowError nor did the relayed paths.

Change: Address accepts only hosts and ports that can exist when it is decoded; dial raises OSError for any other address.

--- a/packages/cowslipfork-direct/src/cowslipfork_direct/relay.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/relay.py
@@ -15,7 +15,7 @@
 import logging
 from collections.abc import Awaitable, Callable, Collection
 from dataclasses import dataclass
-from typing import Final
+from typing import Annotated, Final
 
 import msgspec
 
@@ -33,18 +33,29 @@
 #: Most bytes that are forwarded at a time.
 CHUNK_SIZE: Final = 65_536
 
+MAX_PORT: Final = 65_535
+
+#: An IP address or a host name, whose labels have 63 characters at most.
+HOST_PATTERN: Final = (
+    r'^\[?[0-9A-Za-z:%_-]{1,63}(?:\.[0-9A-Za-z%_-]{1,63}){0,30}\]?\Z'
+)
+
+_Host = Annotated[str, msgspec.Meta(pattern=HOST_PATTERN)]
+
+_Port = Annotated[int, msgspec.Meta(ge=1, le=MAX_PORT)]
+
 
 @dataclass(frozen=True, slots=True)
 class Address:
-    """A TCP address.
+    """A TCP address; no other one is decoded.
 
     Attributes:
         host: IP address.
         port: TCP port.
     """
 
-    host: str
-    port: int
+    host: _Host
+    port: _Port
 
 
 @dataclass(frozen=True, slots=True)
@@ -155,16 +166,25 @@
             return None
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT):
-                return await asyncio.open_connection(
-                    address.host,
-                    address.port,
-                )
+                return await _open(address, CHUNK_SIZE)
         except (OSError, TimeoutError) as error:
             cause = str(error) or type(error).__name__
             log.info('relay_target_unreachable', extra={'cause': cause})
             return None
 
 
+async def _open(address: Address, limit: int) -> Streams:
+    """Opens a connection; no address raises anything but ``OSError``."""
+    try:
+        return await asyncio.open_connection(
+            address.host,
+            address.port,
+            limit=limit,
+        )
+    except (ValueError, OverflowError) as error:
+        raise OSError(f'no such address: {error}') from error
+
+
 async def dial(
     address: Address,
     via: Address | None = None,
@@ -184,12 +204,7 @@
         OSError: the target, or the relay, cannot be connected to.
         RelayFailed: the relay did not connect to the target.
     """
-    first = via or address
-    reader, writer = await asyncio.open_connection(
-        first.host,
-        first.port,
-        limit=limit,
-    )
+    reader, writer = await _open(via or address, limit)
     if via is None:
         return reader, writer
     reached = False
--- a/packages/cowslipfork-direct/tests/test_decoding.py
+++ b/packages/cowslipfork-direct/tests/test_decoding.py
@@ -67,7 +67,22 @@
         return
 
 
-@pytest.mark.parametrize('content', HOSTILE)
+def entry_at(host, port):
+    return ENTRY.replace(b'"10.0.0.1"', host).replace(b'7440', port)
+
+
+@pytest.mark.parametrize(
+    'content',
+    [
+        *HOSTILE,
+        entry_at(b'"10.0.0.1"', b'65536'),
+        entry_at(b'"10.0.0.1"', b'0'),
+        entry_at(b'"10.0.0.1"', b'-1'),
+        entry_at(b'"10.0.0\\u0000.1"', b'7440'),
+        entry_at(b'"10.0.0.1\\r\\n"', b'7440'),
+        entry_at(b'""', b'7440'),
+    ],
+)
 def test_a_bad_registration_costs_that_node_alone(content):
     """Guards against nodes that hear of no other node any more."""
     fleet = Fleet(lambda: None)
@@ -81,6 +96,16 @@
     assert set(fleet.registered) == {'n2'}
 
 
+@pytest.mark.parametrize(
+    'host', ['10.0.0.1', 'n1', 'a-b.example', '::1', 'fe80::1%eth0']
+)
+def test_a_registration_at_any_address_is_read(host):
+    """Guards against nodes that a check of addresses leaves out."""
+    entry = Registered(1, 1, Address(host, 65_535))
+    decoded = decode_json(msgspec.json.encode(entry), Registered)
+    assert decoded.ok == entry
+
+
 @pytest.mark.parametrize('content', HOSTILE)
 def test_a_bad_record_of_a_takeover_is_ignored(content):
     """Guards against nodes that hear of no takeover any more."""
--- a/packages/cowslipfork-direct/tests/test_relay.py
+++ b/packages/cowslipfork-direct/tests/test_relay.py
@@ -76,3 +76,24 @@
         except ConnectionResetError:
             pass
         writer.close()
+
+
+@pytest.mark.parametrize(
+    'address',
+    [
+        Address('127.0.0.1', 65_536),
+        Address('127.0.0.1', -1),
+        Address('127.0.0.1', 10**400),
+        Address('127.0.0\0.1', 80),
+        Address('a' * 64, 80),
+        Address('', 80),
+    ],
+)
+async def test_an_address_that_cannot_exist_fails_like_an_unreachable_one(
+    address,
+):
+    """Guards against callers whose connections end without an answer."""
+    with pytest.raises(OSError):
+        await dial(address)
+    with pytest.raises(OSError):
+        await dial(Address('127.0.0.1', 1), address)
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/answer_table.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/answer_table.py
@@ -9,6 +9,10 @@
 
 _PLATFORM: Final = PurePosixPath('platform/src/cowslipfork_platform')
 _PLATFORM_TESTS: Final = '-c platform/pyproject.toml platform/tests'
+_DIRECT: Final = PurePosixPath(
+    'packages/cowslipfork-direct/src/cowslipfork_direct'
+)
+_DIRECT_TESTS: Final = 'packages/cowslipfork-direct/tests'
 
 ANSWER_MUTANTS: Final = (
     Mutant(
@@ -25,4 +29,18 @@
         'line.rstrip(_TERMINATOR)',
         f'{_PLATFORM_TESTS}/test_line_protocol.py',
     ),
+    Mutant(
+        'direct: a registration has an address that can exist',
+        _DIRECT / 'relay.py',
+        'msgspec.Meta(ge=1, le=MAX_PORT)',
+        'msgspec.Meta(ge=-1)',
+        f'{_DIRECT_TESTS}/test_decoding.py',
+    ),
+    Mutant(
+        'direct: an address that cannot exist is an unreachable one',
+        _DIRECT / 'relay.py',
+        'except (ValueError, OverflowError) as error:',
+        'except ValueError as error:',
+        f'{_DIRECT_TESTS}/test_relay.py',
+    ),
 )
