A claim replaces an unreadable record of the duty or of a takeover

Seen by callers: a group whose primary left or was lost had no new primary as long as the store held an unreadable record under cowslipfork/duty or under the group's key of cowslipfork/takeovers/.

Cause: the cache kept no revision of a record that it could not read, so each claim compared with revision 0 and was refused (claim_lost every 0.25 s).

Change: the revision of an unreadable record is kept. A takeover's claim over one rejects one term more, as after an order whose effect was never observed.

--- a/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/claims.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/claims.py
@@ -114,6 +114,9 @@
         led, ceiling = _led_terms(
             cached.takeover if cached else None, observed_term
         )
+        if self._takeover_cache.has_unreadable(group):
+            # It may be that of an order whose effect was never observed.
+            ceiling = Term(ceiling + 1)
         takeover = Takeover(
             group,
             Term(led + 1),
@@ -133,7 +136,10 @@
         begun = boot_time()
         revision = await self._swap(
             (
-                Compare(takeover_key(group), cached.revision if cached else 0),
+                Compare(
+                    takeover_key(group),
+                    self._takeover_cache.record_revision(group),
+                ),
                 Compare(DUTY_KEY, held_revision),
             ),
             puts,
@@ -211,8 +217,9 @@
             takeover = cached.takeover
             key = takeover_key(takeover.group)
             content = encode(takeover)
+            revision = self._takeover_cache.record_revision(takeover.group)
             swapped = await self._store.swap(
-                (Compare(key, cached.revision),),
+                (Compare(key, revision),),
                 (Put(key, content),),
             )
             if swapped.succeeded:
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/takeover_cache.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/takeover_cache.py
@@ -62,7 +62,10 @@
         """
         self._on_takeover = on_takeover
         self._takeovers: dict[GroupName, CachedTakeover] = {}
-        self._duty: tuple[Duty, int] | None = None
+        self._duty: Duty | None = None
+        self._duty_revision = 0
+        #: Revisions of the records that can't be read.
+        self._unreadable: dict[GroupName, int] = {}
         self._stopped: dict[GroupName, dict[VmId, ClaimId]] = defaultdict(dict)
         self._suspicions: dict[GroupName, dict[VmId, Suspicion]] = defaultdict(
             dict,
@@ -78,17 +81,31 @@
     @property
     def duty(self) -> Duty | None:
         """Record of the node that may order promotions; None without one."""
-        return self._duty and self._duty[0]
+        return self._duty
 
     @property
     def duty_revision(self) -> int:
-        """Revision of the duty's record; 0 if there is none."""
-        return self._duty[1] if self._duty else 0
+        """Revision of the duty's record, readable or not; 0 without one."""
+        return self._duty_revision
 
     def takeover(self, group: GroupName) -> CachedTakeover | None:
         """Returns the last takeover of a group; None if there was none."""
         return self._takeovers.get(group)
 
+    def record_revision(self, group: GroupName) -> int:
+        """Returns the revision of a group's record; 0 if there is none.
+
+        Args:
+            group: the group; its record may be unreadable.
+        """
+        cached = self._takeovers.get(group)
+        known = 0 if cached is None else cached.revision
+        return max(known, self._unreadable.get(group, 0))
+
+    def has_unreadable(self, group: GroupName) -> bool:
+        """Returns whether a group's record in the store can't be read."""
+        return group in self._unreadable
+
     def has_activity_within(
         self,
         seconds: float,
@@ -131,6 +148,8 @@
         """Forgets what only the store's lost records prove."""
         self._settled = False
         self._duty = None
+        self._duty_revision = 0
+        self._unreadable.clear()
         self._stopped.clear()
         self._suspicions.clear()
         for cached in self._takeovers.values():
@@ -174,19 +193,23 @@
 
     def _apply_duty(self, event: Event) -> None:
         self._duty = None
+        self._duty_revision = 0 if event.content is None else event.revision
         if event.content is None:
             return
         decoded = decode_json(event.content, Duty)
         if decoded.is_ok():
-            self._duty = (decoded.ok, event.revision)
+            self._duty = decoded.ok
         else:
             _log_unreadable(event.key, decoded.error)
 
     def _apply_takeover(self, event: Event) -> None:
+        group = GroupName(event.key.removeprefix(TAKEOVERS_PREFIX))
+        self._unreadable.pop(group, None)
         if event.content is None:
             return
         decoded = decode_json(event.content, Takeover)
         if decoded.is_error():
+            self._unreadable[group] = event.revision
             _log_unreadable(event.key, decoded.error)
             return
         takeover = decoded.ok
--- a/packages/cowslipfork-direct/tests/takeover/test_claims.py
+++ b/packages/cowslipfork-direct/tests/takeover/test_claims.py
@@ -4,6 +4,7 @@
 from types import SimpleNamespace
 
 import pytest
+from direct_fakes.restore import replace_primary
 from direct_fakes.world import run, statement, world
 
 from cowslipfork.ids import GroupName, Term, VmId
@@ -111,6 +112,67 @@
     assert (takeover.term, takeover.ceiling) == (term, ceiling)
 
 
+@pytest.mark.parametrize(
+    ('contents', 'ceiling'),
+    [
+        ({DUTY_KEY: [b'{']}, 2),
+        ({takeover_key(GROUP): [b'{']}, 3),
+        ({takeover_key(GROUP): [b'{', b'']}, 3),
+        ({takeover_key(GROUP): [b'{', None]}, 2),
+        (
+            {
+                takeover_key(GROUP): [
+                    encode(record(TakeoverPhase.ORDERED, ceiling=6)),
+                    b'{',
+                ],
+            },
+            8,
+        ),
+    ],
+)
+def test_an_unreadable_record_is_replaced_by_a_claim(contents, ceiling):
+    """Guards against a group whose primary is never replaced."""
+
+    async def main():
+        async with world(nodes=0) as cluster:
+            takeover_cache = TakeoverCache(lambda _: None)
+            for key, versions in contents.items():
+                for content in versions:
+                    cluster.store.put(key, content)
+                    event = Event(key, content, cluster.store.revision)
+                    takeover_cache.apply_events([event])
+            claims = Claims(
+                VmId('n1'), takeover_cache, cluster.store, lambda: 0
+            )
+            before = cluster.store.revision
+            claim = await claims.claim(
+                GROUP, TakeoverKind.FAILOVER, None, Term(2)
+            )
+            again = await claims.claim(
+                GROUP, TakeoverKind.FAILOVER, None, Term(2)
+            )
+            return claim, again, before
+
+    claim, again, before = run(main())
+    assert claim.fence > before
+    assert again.fence == claim.fence
+    assert claim.takeover.ceiling == again.takeover.ceiling == ceiling
+
+
+@pytest.mark.parametrize('key', [DUTY_KEY, takeover_key(GROUP)])
+def test_a_primary_is_replaced_beside_an_unreadable_record(key):
+    """Guards against a group whose primary is never replaced."""
+
+    async def main():
+        async with world(nodes=3) as cluster:
+            cluster.store.put(key, b'\xff{')
+            await replace_primary(cluster, 'e1')
+            session = await cluster.session()
+            return await session.run(statement('WRITE a'))
+
+    assert isinstance(run(main()), Done)
+
+
 def test_a_primary_of_an_earlier_order_is_rejected_after_a_later_takeover():
     async def main():
         async with world(nodes=1) as cluster:
--- a/packages/cowslipfork-direct/tests/takeover/test_restored_takeovers.py
+++ b/packages/cowslipfork-direct/tests/takeover/test_restored_takeovers.py
@@ -275,3 +275,18 @@
     assert listed is None
     assert len(cluster.database.terms) == 2
     assert history.find_violations() == []
+
+
+def test_a_lost_record_is_written_again_over_an_unreadable_one():
+    """Guards against a takeover that only running processes know."""
+
+    async def main():
+        async with world(nodes=3) as cluster:
+            copy = cluster.store.copy()
+            await replace_primary(cluster, 'e1')
+            cluster.store.restore(copy)
+            cluster.store.put(takeover_key(GROUP), b'{')
+            await asyncio.sleep(SETTLE_TIME + 1)
+            return await cluster.store.get(takeover_key(GROUP))
+
+    assert b'"done"' in run(main()).content
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/answer_table.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/answer_table.py
@@ -43,4 +43,32 @@
         'except ValueError as error:',
         f'{_DIRECT_TESTS}/test_relay.py',
     ),
+    Mutant(
+        'direct: a claim replaces an unreadable record of the duty',
+        _DIRECT / 'takeover' / 'takeover_cache.py',
+        'self._duty_revision = 0 if event.content is None else event.revision',
+        'self._duty_revision = 0',
+        f'{_DIRECT_TESTS}/takeover/test_claims.py',
+    ),
+    Mutant(
+        'direct: a claim replaces an unreadable record of a takeover',
+        _DIRECT / 'takeover' / 'takeover_cache.py',
+        'self._unreadable[group] = event.revision',
+        'self._unreadable[group] = 0',
+        f'{_DIRECT_TESTS}/takeover/test_claims.py',
+    ),
+    Mutant(
+        'direct: an unreadable record may be that of an order',
+        _DIRECT / 'takeover' / 'claims.py',
+        'ceiling = Term(ceiling + 1)',
+        'ceiling = Term(ceiling)',
+        f'{_DIRECT_TESTS}/takeover/test_claims.py',
+    ),
+    Mutant(
+        'direct: a lost record is written over an unreadable one',
+        _DIRECT / 'takeover' / 'claims.py',
+        '(Compare(key, revision),),',
+        '(Compare(key, cached.revision),),',
+        f'{_DIRECT_TESTS}/takeover/test_restored_takeovers.py',
+    ),
 )
