A relay delivers what a side has sent before its end

Seen by callers: the end of an answer could be lost on a relayed connection whose target closed after it, and likewise the end of a request, so that the connection counted as lost and the outcome as unknown. Nothing was changed or misread.

Cause: when one side ended, the relay aborted both connections at once, with up to 64 KiB that it had read and that waited because the other side read slowly.

Change: the direction that ended closes its other side once its bytes are sent, within 1 s. An unused constant is gone. More tests: any bytes in pieces around the first line, and a target that speaks first, pass unchanged; a reset of either side leaves no error that nobody handles (neither found a fault).

--- a/packages/cowslipfork-direct/src/cowslipfork_direct/relay.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/relay.py
@@ -14,6 +14,7 @@
 import asyncio
 import logging
 from collections.abc import Awaitable, Callable, Collection
+from contextlib import suppress
 from dataclasses import dataclass
 from typing import Annotated, Final
 
@@ -27,8 +28,8 @@
 #: Seconds within which the relay must connect to a requested address.
 CONNECT_TIMEOUT: Final = 0.15
 
-#: Greatest length of the first message in bytes.
-MAX_HELLO: Final = 512
+#: Seconds for a side to receive what the other one sent before its end.
+FLUSH_TIMEOUT: Final = 1.0
 
 #: Most bytes that are forwarded at a time.
 CHUNK_SIZE: Final = 65_536
@@ -235,7 +236,10 @@
 
 
 async def _splice(one: Streams, other: Streams) -> None:
-    """Forwards bytes in both directions until either side ends."""
+    """Forwards bytes in both directions until either side ends.
+
+    What that side has sent before its end is still delivered.
+    """
     tasks = [
         asyncio.create_task(_forward(one[0], other[1])),
         asyncio.create_task(_forward(other[0], one[1])),
@@ -245,6 +249,7 @@
     finally:
         for task in tasks:
             task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
 
 
 async def _forward(
@@ -256,3 +261,12 @@
         writer.write(chunk)
         await writer.drain()
         chunk = await reader.read(CHUNK_SIZE)
+    await _flush(writer)
+
+
+async def _flush(writer: asyncio.StreamWriter) -> None:
+    """Closes a connection once what was written is sent, or in time."""
+    writer.close()
+    with suppress(TimeoutError):
+        async with asyncio.timeout(FLUSH_TIMEOUT):
+            await writer.wait_closed()
--- a/packages/cowslipfork-direct/tests/test_relay.py
+++ b/packages/cowslipfork-direct/tests/test_relay.py
@@ -1,10 +1,15 @@
 """Relayed connections over real sockets on the loopback interface."""
 
 import asyncio
-from contextlib import asynccontextmanager
+import gc
+import json
+from contextlib import asynccontextmanager, suppress
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
+from cowslipfork_direct import relay as relay_module
 from cowslipfork_direct.relay import Address, Relay, RelayFailed, dial
 
 
@@ -97,3 +102,187 @@
         await dial(address)
     with pytest.raises(OSError):
         await dial(Address('127.0.0.1', 1), address)
+
+
+def hello_to(address):
+    target = {'host': address.host, 'port': address.port}
+    return json.dumps({'to': target}).encode() + b'\n'
+
+
+#: Bytes as they are sent one after the other.
+pieces = st.lists(
+    st.binary(max_size=20)
+    | st.sampled_from([b'\r', b'\n', b'\r\n', b'\x00', b'{"to":', b'\xff'])
+    | st.just(70_000 * b'\n'),
+    max_size=5,
+)
+
+
+async def send_pieces(writer, content):
+    for piece in content:
+        writer.write(piece)
+        await writer.drain()
+        await asyncio.sleep(0)
+
+
+@settings(max_examples=50, deadline=None)
+@given(pieces, pieces, st.integers(1, 60))
+def test_all_bytes_pass_unchanged(there, back, cut):
+    """Guards against bytes that are lost or changed around the first line."""
+    received = []
+
+    async def answer(reader, writer):
+        # The target speaks first, so that its bytes follow the relay's answer.
+        await send_pieces(writer, back)
+        received.append(await reader.readexactly(len(b''.join(there))))
+        writer.write(b'end')
+        writer.close()
+
+    async def main():
+        async with listening(answer) as target:
+            async with listening(Relay(lambda: {target}).serve) as via:
+                reader, writer = await asyncio.open_connection(
+                    via.host, via.port
+                )
+                first = hello_to(target) + b''.join(there[:1])
+                await send_pieces(writer, [first[:cut], first[cut:]])
+                await send_pieces(writer, there[1:])
+                line = await reader.readline()
+                answered = await reader.read()
+                writer.close()
+                return line, answered
+
+    line, answered = asyncio.run(main())
+    assert json.loads(line) == {'reached': True}
+    assert answered == b''.join(back) + b'end'
+    assert received == [b''.join(there)]
+
+
+#: Bytes that wait in a relay, too few for it to stop reading.
+UNSENT = 20_000
+
+
+async def write_until_waiting(writer, writers):
+    """Writes until bytes wait in the relay; returns how many were written."""
+    written = 0
+    while writers[-1].transport.get_write_buffer_size() < UNSENT:
+        writer.write(1000 * b'x')
+        await writer.drain()
+        await asyncio.sleep(0)
+        written += 1000
+    writer.close()
+    return written
+
+
+async def read_slowly(reader):
+    await asyncio.sleep(0.2)
+    received = 0
+    while chunk := await reader.read(65_536):
+        received += len(chunk)
+    return received
+
+
+async def test_an_answer_that_ends_its_connection_arrives_whole():
+    """Guards against an answer whose end is lost where it is read slowly."""
+    writers = []
+    written = asyncio.get_running_loop().create_future()
+
+    async def answer(_, writer):
+        written.set_result(await write_until_waiting(writer, writers))
+
+    async with listening(answer) as target:
+        relay = Relay(lambda: {target})
+
+        async def serve(reader, writer):
+            writers.append(writer)
+            await relay.serve(reader, writer)
+
+        async with listening(serve) as via:
+            reader, writer = await dial(target, via)
+            count = await written
+            assert await read_slowly(reader) == count
+            writer.close()
+
+
+async def test_a_request_that_ends_its_connection_arrives_whole(monkeypatch):
+    """Guards against a request whose end is lost where it is read slowly."""
+    writers = []
+    received = asyncio.get_running_loop().create_future()
+    open_connection = asyncio.open_connection
+
+    async def open_and_keep(*arguments, **settings):
+        streams = await open_connection(*arguments, **settings)
+        writers.append(streams[1])
+        return streams
+
+    async def receive(reader, writer):
+        await asyncio.sleep(0.5)
+        received.set_result(await read_slowly(reader))
+        writer.close()
+
+    async with listening(receive) as target:
+        async with listening(Relay(lambda: {target}).serve) as via:
+            monkeypatch.setattr(asyncio, 'open_connection', open_and_keep)
+            _, writer = await dial(target, via)
+            count = await write_until_waiting(writer, writers)
+            assert await received == count
+
+
+async def test_a_side_that_reads_nothing_is_left_at_the_time_out(monkeypatch):
+    """Guards against connections that are kept for ever."""
+    monkeypatch.setattr(relay_module, 'FLUSH_TIMEOUT', 0.1, raising=False)
+    writers = []
+    done = asyncio.Event()
+
+    async def answer(_, writer):
+        await write_until_waiting(writer, writers)
+
+    async with listening(answer) as target:
+        relay = Relay(lambda: {target})
+
+        async def serve(reader, writer):
+            writers.append(writer)
+            await relay.serve(reader, writer)
+            done.set()
+
+        async with listening(serve) as via:
+            _, writer = await dial(target, via)
+            async with asyncio.timeout(5):
+                await done.wait()
+            assert writers[0].transport.is_closing()
+            writer.close()
+
+
+@pytest.mark.parametrize('resets', ['caller', 'target'])
+async def test_a_reset_ends_the_other_side_without_an_error(resets):
+    """Guards against tasks that die with an error that nobody handles."""
+    unhandled = []
+    asyncio.get_running_loop().set_exception_handler(
+        lambda _, context: unhandled.append(context)
+    )
+    ended = asyncio.Event()
+
+    async def serve(reader, writer):
+        if resets == 'target':
+            await reader.readexactly(5)
+            writer.transport.abort()
+        with suppress(ConnectionResetError):
+            await reader.read()
+        ended.set()
+
+    async with listening(serve) as target:
+        async with listening(Relay(lambda: {target}).serve) as via:
+            reader, writer = await dial(target, via)
+            writer.write(b'hello, this is not read to its end')
+            await asyncio.sleep(0.05)
+            if resets == 'caller':
+                writer.transport.abort()
+            else:
+                with suppress(ConnectionResetError):
+                    assert await reader.read() == b''
+                writer.close()
+            async with asyncio.timeout(5):
+                await ended.wait()
+    await asyncio.sleep(0.05)
+    gc.collect()
+    assert unhandled == []
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/answer_table.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/answer_table.py
@@ -71,4 +71,18 @@
         '(Compare(key, cached.revision),),',
         f'{_DIRECT_TESTS}/takeover/test_restored_takeovers.py',
     ),
+    Mutant(
+        'direct: a relay delivers what was sent before an end',
+        _DIRECT / 'relay.py',
+        '    await _flush(writer)',
+        '    writer.transport.abort()',
+        f'{_DIRECT_TESTS}/test_relay.py',
+    ),
+    Mutant(
+        'direct: a side of a relay that reads nothing is left',
+        _DIRECT / 'relay.py',
+        'async with asyncio.timeout(FLUSH_TIMEOUT):',
+        'async with asyncio.timeout(None):',
+        f'{_DIRECT_TESTS}/test_relay.py',
+    ),
 )
