An answer of a relay without an end is a failure of that relay

Seen by callers: a statement whose task ended with an unexpected error, and a connection closed without an answer, if another program listened at the address of a node's relay and sent over 64 KiB without a line feed.

Cause: dial passed on the ValueError of StreamReader.readline.

Evidence: test_an_odd_answer_of_a_relay_is_a_failure was seen failing.

Change: dial raises RelayFailed, as for every other odd answer.

Measured: test_relay.py passes; the mutant is caught.

--- a/packages/cowslipfork-direct/src/cowslipfork_direct/relay.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/relay.py
@@ -211,8 +211,9 @@
     reached = False
     try:
         _send(writer, Hello(address))
-        line = await reader.readline()
-        reached = bool(line) and _decode_reached(line)
+        reached = _decode_reached(await reader.readline())
+    except ValueError as error:
+        raise RelayFailed(f'{via.host}: answer too long') from error
     finally:
         if not reached:
             writer.transport.abort()
--- a/packages/cowslipfork-direct/tests/test_relay.py
+++ b/packages/cowslipfork-direct/tests/test_relay.py
@@ -286,3 +286,20 @@
     await asyncio.sleep(0.05)
     gc.collect()
     assert unhandled == []
+
+
+@pytest.mark.parametrize(
+    'answer', [b'\n', b'{}\n', b'', 70_000 * b'x', b'[' * 5000 + b'\n']
+)
+async def test_an_odd_answer_of_a_relay_is_a_failure(answer):
+    """Guards against an error that ends the task of a caller."""
+
+    async def serve(reader, writer):
+        await reader.readline()
+        writer.write(answer)
+        await writer.drain()
+        writer.close()
+
+    async with listening(serve) as via:
+        with pytest.raises(RelayFailed):
+            await dial(Address('127.0.0.1', 1), via)
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/answer_table.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/answer_table.py
@@ -85,4 +85,11 @@
         'async with asyncio.timeout(None):',
         f'{_DIRECT_TESTS}/test_relay.py',
     ),
+    Mutant(
+        'direct: an answer of a relay that is too long is a failure',
+        _DIRECT / 'relay.py',
+        '    except ValueError as error:\n        raise RelayFailed',
+        '    except KeyError as error:\n        raise RelayFailed',
+        f'{_DIRECT_TESTS}/test_relay.py',
+    ),
 )
