A name that endpoints can't be told costs itself alone

Seen by callers: with a tenant whose name has a blank or letters of another script, no node applied the configuration any more. An id or a service with a blank or a line break, from another writer's entry, was written into the line START as it was: other fields, or a second line.

Cause: the configuration was refused as a whole for the name of a tenant; names of services and of servers were not checked at all.

Change: names are words without blanks and control characters, of any script. An entry with another id or service is unreadable; a tenant, service or route with another name is left out and logged (name_not_usable), so that the keys of such a tenant identify nobody. Four cases that wanted the whole configuration to be refused for the name of a tenant are replaced by eight that want the rest to be in force, the tenant to be absent and the log line to name no key.

Names beyond ASCII need START to be encoded as UTF-8 (endpoints.py).

--- a/packages/cowslipfork-direct/src/cowslipfork_direct/decoding.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/decoding.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from typing import Final, TypeVar
 
 import msgspec
@@ -12,6 +13,9 @@
 #: Most digits of a whole number; longer ones are of another writer.
 MAX_DIGITS: Final = 18
 
+#: A blank or a line break in a name would change what else is on its line.
+_WORD: Final = re.compile(r'[^\x00-\x20\x7f]+')
+
 _Content = TypeVar('_Content')
 
 
@@ -50,3 +54,12 @@
     if len(text) > MAX_DIGITS or not (text.isascii() and text.isdecimal()):
         return None
     return int(text)
+
+
+def is_word(name: str) -> bool:
+    """Returns whether a name can be sent as one field of a line.
+
+    Args:
+        name: any text, also of other scripts.
+    """
+    return _WORD.fullmatch(name) is not None
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/answer_table.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/answer_table.py
@@ -92,4 +92,25 @@
         '    except KeyError as error:\n        raise RelayFailed',
         f'{_DIRECT_TESTS}/test_relay.py',
     ),
+    Mutant(
+        'platform: a name with a blank is no field',
+        _DIRECT / 'decoding.py',
+        r'[^\x00-\x20\x7f]+',
+        r'[^\x00-\x1f\x7f]+',
+        f'{_PLATFORM_TESTS}/test_hostile_input.py',
+    ),
+    Mutant(
+        'platform: a name that is no field costs itself alone',
+        _PLATFORM / 'configuration.py',
+        "if _can_be_sent('tenant', one.name)",
+        'if one',
+        f'{_PLATFORM_TESTS}/test_workspace_decoding.py',
+    ),
+    Mutant(
+        'platform: an entry has an id that is a field',
+        _PLATFORM / 'listing.py',
+        'if not (is_word(endpoint) and is_word(entry.service)):',
+        'if not is_word(entry.service):',
+        f'{_PLATFORM_TESTS}/test_hostile_input.py',
+    ),
 )
