A surplus answer of a MySQL endpoint answers no later statement

Seen by callers: rows of an earlier statement, if an endpoint of the MySQL protocol sent an answer once more on a connection that was kept. It could be shown with a path that repeats the last answer: SELECT 2 returned 1.

Cause: sequence numbers start anew with each command, so the driver takes bytes that came while no statement was outstanding as the next answer.

Change: a connection on which bytes came since its last answer is closed before it is used; the pool takes another one, and a transaction's connection counts as broken. Further results of one statement, which the driver reads, do not count.

Left: a repeated answer that arrives while the next statement is outstanding can't be told from that statement's answer; its connection is closed afterwards.

--- a/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/answer_table.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/answer_table.py
@@ -13,6 +13,10 @@
     'packages/cowslipfork-direct/src/cowslipfork_direct'
 )
 _DIRECT_TESTS: Final = 'packages/cowslipfork-direct/tests'
+_ENDPOINTS: Final = PurePosixPath(
+    'packages/cowslipfork-proxy/src/cowslipfork_proxy/endpoints'
+)
+_ENDPOINTS_TESTS: Final = 'packages/cowslipfork-proxy/tests/endpoints'
 
 ANSWER_MUTANTS: Final = (
     Mutant(
@@ -113,4 +117,25 @@
         'if not is_word(entry.service):',
         f'{_PLATFORM_TESTS}/test_hostile_input.py',
     ),
+    Mutant(
+        'proxy: a surplus answer ends an idle connection',
+        _ENDPOINTS / 'pool.py',
+        'if connection.usable:\n                return connection',
+        'if connection:\n                return connection',
+        f'{_ENDPOINTS_TESTS}/test_surplus_answers.py',
+    ),
+    Mutant(
+        'proxy: a surplus answer ends a connection before a statement',
+        _ENDPOINTS / 'connection.py',
+        'if self._has_unread:',
+        'if not self._usable:',
+        f'{_ENDPOINTS_TESTS}/test_surplus_answers.py',
+    ),
+    Mutant(
+        'proxy: further results are no surplus answer',
+        _ENDPOINTS / 'connection.py',
+        'return last is None or not last.has_next',
+        'return True',
+        f'{_ENDPOINTS_TESTS}/test_surplus_answers.py',
+    ),
 )
--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/endpoints/connection.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/endpoints/connection.py
@@ -110,8 +110,21 @@
 
     @property
     def usable(self) -> bool:
-        """Whether the last answer was read whole."""
-        return self._usable
+        """Whether the last answer was read whole and nothing came since.
+
+        Answers name no statement: bytes that come while none is outstanding
+        would be taken for the answer to the next one.
+        """
+        return self._usable and not self._has_unread
+
+    @property
+    def _has_unread(self) -> bool:
+        received = getattr(self._raw, '_proto', None)
+        if received is None or received.length == received.pos:
+            return False
+        # Further results of one statement are read by the driver.
+        last = self._raw._result
+        return last is None or not last.has_next
 
     def close(self) -> None:
         """Closes the socket at once."""
@@ -149,6 +162,7 @@
             ConnectionBroken: no whole answer.
             EndpointRefused: the endpoint answered with an error.
         """
+        self._require_usable()
         async with self._guarded(timeout):
             affected = await self._raw.query(sql)
             return Answer(
@@ -171,6 +185,7 @@
             ConnectionBroken: no whole answer.
             EndpointRefused: the endpoint answered with an error.
         """
+        self._require_usable()
         async with self._guarded(timeout):
             cursor = self._raw.cursor()
             await cursor.execute(sql)
@@ -191,6 +206,7 @@
             ConnectionBroken: no head of an answer.
             EndpointRefused: the endpoint answered with an error.
         """
+        self._require_usable()
         cursor = self._raw.cursor(SSCursor)
         first: list[Row] = []
         async with self._guarded(timeout):
@@ -230,6 +246,16 @@
             if not whole:
                 self.close()
 
+    def _require_usable(self) -> None:
+        """Closes the connection instead of misreading an answer.
+
+        Raises:
+            ConnectionBroken: bytes came that answer no statement.
+        """
+        if self._has_unread:
+            self.close()
+            raise ConnectionBroken(self._endpoint, 'surplus answer')
+
     @asynccontextmanager
     async def _guarded(self, timeout: float) -> AsyncIterator[None]:
         """Turns every failure of the driver into a typed one."""
--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/endpoints/pool.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/endpoints/pool.py
@@ -149,8 +149,11 @@
     async def _take(self, timeout: float) -> EndpointConnection:
         if self._closed:
             raise PoolClosed(self._endpoint.name)
-        if self._idle:
-            return self._idle.pop()
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.usable:
+                return connection
+            connection.close()
         return await open_connection(
             self._endpoint,
             self._login,
