Suspicions of a service with a slash in its name count for it alone

Seen by callers: a service named a/b whose primary was lost got no new one, and a suspicion of it that names no server counted for the primary of a service a.

Cause: keys are group, slash, node; they were split at the first slash.

Evidence: test_records_of_a_group_with_a_slash_count_for_it_alone was seen failing.

Change: keys are split at the last slash; names of nodes have none.

Measured: packages/cowslipfork-direct/tests/takeover passes; the mutant is caught.

--- a/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/takeover_cache.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/takeover_cache.py
@@ -264,7 +264,7 @@
 
 
 def _group_and_node(path: str) -> tuple[GroupName, VmId]:
-    group, _, node = path.partition('/')
+    group, _, node = path.rpartition('/')
     return GroupName(group), VmId(node)
 
 
--- a/packages/cowslipfork-direct/tests/takeover/test_claims.py
+++ b/packages/cowslipfork-direct/tests/takeover/test_claims.py
@@ -264,3 +264,17 @@
     late, unaware, aware = run(main())
     assert unaware is None
     assert aware.fence > late.fence
+
+
+def test_records_of_a_group_with_a_slash_count_for_it_alone():
+    """Guards against suspicions that count for another group's primary."""
+    takeover_cache = TakeoverCache(lambda _: None)
+    suspicion = Suspicion(None, Term(1))
+    key = suspect_key(GroupName('g/h'), VmId('n1'))
+
+    async def apply():
+        takeover_cache.apply_events([Event(key, encode(suspicion), 1)])
+
+    asyncio.run(apply())
+    assert dict(takeover_cache.suspicions(GROUP)) == {}
+    assert takeover_cache.suspicions(GroupName('g/h')) == {'n1': suspicion}
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/answer_table.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/answer_table.py
@@ -138,4 +138,11 @@
         'return True',
         f'{_ENDPOINTS_TESTS}/test_surplus_answers.py',
     ),
+    Mutant(
+        'direct: a record counts for its group alone',
+        _DIRECT / 'takeover' / 'takeover_cache.py',
+        "path.rpartition('/')",
+        "path.partition('/')",
+        f'{_DIRECT_TESTS}/takeover/test_claims.py',
+    ),
 )
