--- a/packages/cowslipfork-direct/src/cowslipfork_direct/relay.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/relay.py
@@ -14,8 +14,9 @@
 import asyncio
 import logging
 from collections.abc import Awaitable, Callable, Collection
+from contextlib import suppress
 from dataclasses import dataclass
-from typing import Final
+from typing import Annotated, Final
 
 import msgspec
 
@@ -28,24 +29,35 @@
 #: Seconds within which the relay must connect to a requested address.
 CONNECT_TIMEOUT: Final = 0.15
 
-#: Greatest length of the first message in bytes.
-MAX_HELLO: Final = 512
+#: Seconds for a side to receive what the other one sent before its end.
+FLUSH_TIMEOUT: Final = 1.0
 
 #: Most bytes that are forwarded at a time.
 CHUNK_SIZE: Final = 65_536
 
+MAX_PORT: Final = 65_535
+
+#: An IP address or a host name, whose labels have 63 characters at most.
+HOST_PATTERN: Final = (
+    r'^\[?[0-9A-Za-z:%_-]{1,63}(?:\.[0-9A-Za-z%_-]{1,63}){0,30}\]?\Z'
+)
+
+_Host = Annotated[str, msgspec.Meta(pattern=HOST_PATTERN)]
+
+_Port = Annotated[int, msgspec.Meta(ge=1, le=MAX_PORT)]
+
 
 @dataclass(frozen=True, slots=True)
 class Address:
-    """A TCP address.
+    """A TCP address; no other one is decoded.
 
     Attributes:
         host: IP address.
         port: TCP port.
     """
 
-    host: str
-    port: int
+    host: _Host
+    port: _Port
 
 
 @dataclass(frozen=True, slots=True)
@@ -159,16 +171,28 @@
             return None
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT):
-                return await asyncio.open_connection(
-                    address.host,
-                    address.port,
-                )
+                return await _open(address, CHUNK_SIZE)
         except (OSError, TimeoutError) as error:
             cause = str(error) or type(error).__name__
             log.info('relay_target_unreachable', extra={'cause': cause})
             return None
 
 
+async def _open(address: Address, limit: int) -> DialledStreams:
+    """Opens a connection; no address raises anything but ``OSError``."""
+    loop = asyncio.get_running_loop()
+    reader = CountingReader(limit)
+    try:
+        transport, protocol = await loop.create_connection(
+            lambda: asyncio.StreamReaderProtocol(reader),
+            address.host,
+            address.port,
+        )
+    except (ValueError, OverflowError) as error:
+        raise OSError(f'no such address: {error}') from error
+    return reader, asyncio.StreamWriter(transport, protocol, reader, loop)
+
+
 async def dial(
     address: Address,
     via: Address | None = None,
@@ -188,15 +212,15 @@
         OSError: the target, or the relay, cannot be connected to.
         RelayFailed: the relay did not connect to the target.
     """
-    first = via or address
-    reader, writer = await _connect_to(first, limit)
+    reader, writer = await _open(via or address, limit)
     if via is None:
         return reader, writer
     reached = False
     try:
         _send(writer, Hello(address))
-        line = await reader.readline()
-        reached = bool(line) and _decode_reached(line)
+        reached = _decode_reached(await reader.readline())
+    except ValueError as error:
+        raise RelayFailed(f'{via.host}: answer too long') from error
     finally:
         if not reached:
             writer.transport.abort()
@@ -205,17 +229,6 @@
     return reader, writer
 
 
-async def _connect_to(address: Address, limit: int) -> DialledStreams:
-    loop = asyncio.get_running_loop()
-    reader = CountingReader(limit)
-    transport, protocol = await loop.create_connection(
-        lambda: asyncio.StreamReaderProtocol(reader),
-        address.host,
-        address.port,
-    )
-    return reader, asyncio.StreamWriter(transport, protocol, reader, loop)
-
-
 def _decode_hello(line: bytes) -> Hello | None:
     """Returns the message of a relayed connection; None for another one."""
     return decode_json(line, Hello).default_value(None)
@@ -231,7 +244,10 @@
 
 
 async def _splice(one: Streams, other: Streams) -> None:
-    """Forwards bytes in both directions until either side ends."""
+    """Forwards bytes in both directions until either side ends.
+
+    What that side has sent before its end is still delivered.
+    """
     tasks = [
         asyncio.create_task(_forward(one[0], other[1])),
         asyncio.create_task(_forward(other[0], one[1])),
@@ -241,6 +257,7 @@
     finally:
         for task in tasks:
             task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
 
 
 async def _forward(
@@ -252,3 +269,12 @@
         writer.write(chunk)
         await writer.drain()
         chunk = await reader.read(CHUNK_SIZE)
+    await _flush(writer)
+
+
+async def _flush(writer: asyncio.StreamWriter) -> None:
+    """Closes a connection once what was written is sent, or in time."""
+    writer.close()
+    with suppress(TimeoutError):
+        async with asyncio.timeout(FLUSH_TIMEOUT):
+            await writer.wait_closed()
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/table.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/table.py
@@ -9,6 +9,7 @@
 from cowslipfork_lab.mutants.direct_table import DIRECT_MUTANTS
 from cowslipfork_lab.mutants.http_table import HTTP_MUTANTS
 from cowslipfork_lab.mutants.mutant import Mutant
+from cowslipfork_lab.mutants.path_table import PATH_MUTANTS
 from cowslipfork_lab.mutants.sharing_table import SHARING_MUTANTS
 from cowslipfork_lab.mutants.store_table import STORE_MUTANTS
 from cowslipfork_lab.mutants.takeover_table import TAKEOVER_MUTANTS
@@ -336,6 +337,7 @@
     *ANSWER_MUTANTS,
     *DIRECT_MUTANTS,
     *HTTP_MUTANTS,
+    *PATH_MUTANTS,
     *STORE_MUTANTS,
     *TAKEOVER_MUTANTS,
     *SHARING_MUTANTS,
