One copy of a reply ends the reuse of all connections to its endpoint

Nothing unsigned tells a copy from a reply.

Change: the evidence is kept for each endpoint (CopyRecord), and also taken from probes that find more than one candidate. A test of relay.py now replaces the function that opens connections there instead of asyncio's, which is not called any more.

--- a/packages/cowslipfork-direct/src/cowslipfork_direct/exchange.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/exchange.py
@@ -1,16 +1,17 @@
 """Exchanges commands and replies on one connection to an endpoint.
 
 Replies that answer no outstanding command, such as the second copy of an
-earlier one, are dropped, and the connection serves no other caller. Where a
-reply may be either, a probe decides: two commands whose replies resemble no
-other's. The endpoint answers in order, so what arrives before them answers the
-command, or is a copy.
+earlier one, are dropped, and for a time each connection to their endpoint
+serves one caller only, so that no copies are left from another. Where a reply
+may be the answer or a copy, a probe decides: the endpoint answers in order, so
+what arrives before the answers to the probe answers the command, or is a copy.
+Several copies in a row can still pass for the answers to a probe on a
+connection whose endpoint has shown none before.
 """
 
 from __future__ import annotations
 
 import logging
-from collections import Counter
 from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import replace
 from typing import Final
@@ -25,6 +26,7 @@
     Prepare,
     Run,
 )
+from cowslipfork_direct.copy_record import CopyRecord
 from cowslipfork_direct.link import EndpointReply, LinkLost, ReplyCode
 from cowslipfork_direct.reply_matching import Match, ReplyMatcher
 from cowslipfork_direct.statements import Prepared, StatementName
@@ -36,7 +38,7 @@
 
 _PROBE_NAME: Final = StatementName('probe')
 
-#: Commands that change nothing and show which replies precede theirs.
+#: Commands that change nothing; their replies follow the answer in question.
 PROBE: Final = (
     Prepare(_PROBE_NAME, Prepared(writes=False, template='probe')),
     Forget(_PROBE_NAME),
@@ -58,7 +60,7 @@
         endpoint: EndpointId,
         send: SendCommands,
         read: ReadReply,
-        counts: Counter[str],
+        copies: CopyRecord,
     ) -> None:
         """Starts without commands.
 
@@ -66,32 +68,31 @@
             endpoint: endpoint of the connection.
             send: sends commands.
             read: reads the next reply.
-            counts: replies that may answer no command, by how they match;
-                shared by all connections.
+            copies: record of replies that answer no command; shared by all
+                connections.
         """
         self._endpoint = endpoint
         self._send = send
         self._read = read
-        self._counts = counts
+        self._copies = copies
         self._matcher = ReplyMatcher()
-        self._copies_seen = False
 
     @property
-    def copies_seen(self) -> bool:
-        """Whether a reply has arrived that answers no command."""
-        return self._copies_seen
+    def distrusted(self) -> bool:
+        """Whether copies of replies may arrive that can't be recognised."""
+        return self._copies.repeats(self._endpoint)
 
     def record_copy(self) -> None:
         """Records that something has arrived that answers no command."""
-        self._copies_seen = True
-        self._counts[Match.SURPLUS.value] += 1
+        self._copies.record_copy(self._endpoint)
+        self._copies.count(Match.SURPLUS)
 
     async def run(self, *commands: Command) -> list[EndpointReply]:
         """Sends commands and returns the reply to each.
 
         Args:
-            commands: at least one; of those that need a proof of their reply,
-                only the last one may be.
+            commands: at least one; only the last one may be ``Begin`` or a
+                ``ControlCommand``.
 
         Raises:
             LinkLost: it can't be told which replies are the answers; what was
@@ -115,7 +116,7 @@
             if match is not Match.ANSWER:
                 self._record(match, command, reply)
             if match is Match.SURPLUS or self._is_copy(match, reply):
-                self._copies_seen = True
+                self._copies.record_copy(self._endpoint)
                 continue
             if match is Match.REPEATED and isinstance(command, Run | Execute):
                 reply = await self._probe(command, reply)
@@ -124,9 +125,9 @@
         raise LinkLost(self._endpoint, 'too many replies without a command')
 
     def _is_copy(self, match: Match, reply: EndpointReply) -> bool:
-        """Returns whether a success is a copy on a connection with copies."""
+        """Returns whether a success is a copy of an endpoint with copies."""
         success = reply.code is ReplyCode.DONE
-        return self._copies_seen and success and match is Match.REPEATED
+        return self.distrusted and success and match is Match.REPEATED
 
     def _ensure_answers_probe(self, reply: EndpointReply) -> None:
         """Raises if a reply to the probe shows that another one was a copy."""
@@ -143,10 +144,9 @@
             command: the command.
             first: the reply.
         """
-        if self._copies_seen:
+        if self.distrusted:
             # Copies of earlier probes could pass for the answers to this one.
             raise self._undecided()
-        self._copies_seen = first.code is ReplyCode.DONE
         self._send(PROBE)
         candidates = [first]
         answers: list[EndpointReply] = []
@@ -156,6 +156,8 @@
             found.append(reply)
             if len(candidates) > MAX_SURPLUS:
                 raise self._undecided()
+        if len(candidates) > 1 or first.code is ReplyCode.DONE:
+            self._copies.record_copy(self._endpoint)
         answer = self._matcher.choose(command, candidates)
         if answer is None or not _same_state(answers):
             raise self._undecided()
@@ -172,7 +174,7 @@
     def _record(
         self, match: Match, command: Command, reply: EndpointReply
     ) -> None:
-        self._counts[match.value] += 1
+        self._copies.count(match)
         log.info(
             'unmatched_reply',
             extra={
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/reply_matching.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/reply_matching.py
@@ -24,7 +24,7 @@
 from cowslipfork_direct.link import EndpointReply, ReplyCode
 
 #: Most signatures and errors of a connection that are remembered.
-MAX_REMEMBERED: Final = 256
+MAX_REMEMBERED: Final = 1024
 
 
 @unique
--- a/packages/cowslipfork-direct/tests/test_exchange.py
+++ b/packages/cowslipfork-direct/tests/test_exchange.py
@@ -1,7 +1,6 @@
 """Replies that arrive twice are never taken as answers of other commands."""
 
 import asyncio
-from collections import Counter
 
 import pytest
 from direct_fakes.repeating_endpoint import RepeatingEndpoint
@@ -21,6 +20,7 @@
     Run,
     SetValue,
 )
+from cowslipfork_direct.copy_record import CopyRecord
 from cowslipfork_direct.exchange import MAX_SURPLUS, PROBE, Exchange
 from cowslipfork_direct.link import LinkLost, ReplyCode
 
@@ -59,7 +59,7 @@
 
 
 def exchange_with(endpoint):
-    return Exchange('e1', endpoint.send, endpoint.read, Counter())
+    return Exchange('e1', endpoint.send, endpoint.read, CopyRecord(lambda: 0))
 
 
 async def run_all(exchange, *pipelines):
@@ -83,6 +83,17 @@
     assert answer.signature != reply.signature
 
 
+async def test_mixed_true_answer_after_a_refusal_shows_a_copy():
+    refusals = iter([ReplyCode.BUSY])
+    endpoint = RepeatingEndpoint(lambda _: next(refusals, None))
+    exchange = exchange_with(endpoint)
+    (refused,) = await exchange.run(READ)
+    endpoint.send_copy(refused)
+    assert not exchange.distrusted
+    await exchange.run(WRITE)
+    assert exchange.distrusted
+
+
 async def test_the_same_answer_to_another_statement_is_not_awaited_for_ever():
     """The server would have to sign two statements alike."""
     endpoint = RepeatingEndpoint()
@@ -113,7 +124,7 @@
         endpoint.send_copy(copy)
     with pytest.raises(LinkLost):
         await exchange.run(WRITE)
-    assert exchange.copies_seen
+    assert exchange.distrusted
 
 
 async def test_pinned_copy_of_a_probe_does_not_tell_the_transaction_state():
--- a/packages/cowslipfork-direct/tests/test_relay.py
+++ b/packages/cowslipfork-direct/tests/test_relay.py
@@ -208,10 +208,10 @@
     """Guards against a request whose end is lost where it is read slowly."""
     writers = []
     received = asyncio.get_running_loop().create_future()
-    open_connection = asyncio.open_connection
+    open_connection = relay_module._open
 
-    async def open_and_keep(*arguments, **settings):
-        streams = await open_connection(*arguments, **settings)
+    async def open_and_keep(address, limit):
+        streams = await open_connection(address, limit)
         writers.append(streams[1])
         return streams
 
@@ -222,7 +222,7 @@
 
     async with listening(receive) as target:
         async with listening(Relay(lambda: {target}).serve) as via:
-            monkeypatch.setattr(asyncio, 'open_connection', open_and_keep)
+            monkeypatch.setattr(relay_module, '_open', open_and_keep)
             _, writer = await dial(target, via)
             count = await write_until_waiting(writer, writers)
             assert await received == count
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/answer_table.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/answer_table.py
@@ -68,7 +68,7 @@
     Mutant(
         'replies: no probe where copies of probes may arrive',
         _DIRECT / 'exchange.py',
-        '        if self._copies_seen:\n',
+        '        if self.distrusted:\n',
         '        if self._endpoint is None:\n',
         _EXCHANGE,
     ),
@@ -89,8 +89,15 @@
     Mutant(
         'replies: a connection with unread bytes is not used again',
         _PLATFORM / 'endpoints.py',
-        'return not arrived and not self._exchange.copies_seen',
-        'return not self._exchange.copies_seen',
+        'return not arrived and not self._exchange.distrusted',
+        'return not self._exchange.distrusted',
+        f'{_PLATFORM_TESTS}/test_repeated_answers.py',
+    ),
+    Mutant(
+        'replies: one copy makes its endpoint distrusted',
+        _DIRECT / 'exchange.py',
+        '                self._copies.record_copy(self._endpoint)\n',
+        '',
         f'{_PLATFORM_TESTS}/test_repeated_answers.py',
     ),
 )
