--- a/packages/cowslipfork-direct/src/cowslipfork_direct/http_client.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/http_client.py
@@ -4,8 +4,9 @@
 
 import asyncio
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Final
+from typing import Final, TypeVar
 
 import h11
 
@@ -21,6 +22,10 @@
 #: Most idle connections that a client keeps open.
 _MAX_IDLE: Final = 2
 
+_OK: Final = 200
+
+_Answer = TypeVar('_Answer')
+
 
 @dataclass(frozen=True, slots=True)
 class ResponseLimits:
@@ -73,12 +78,17 @@
     """The response is longer than the request allowed."""
 
 
+class UnexpectedResponse(CowslipforkError):
+    """A response that does not fit its request; it may be that to another."""
+
+
 #: Errors of opening a connection and of an exchange on it.
 _CONNECTION_ERRORS: Final = (
     OSError,
     TimeoutError,
     RelayFailed,
     h11.ProtocolError,
+    UnexpectedResponse,
 )
 
 
@@ -104,58 +114,64 @@
 
     async def request(
         self,
-        method: str,
-        path: str,
-        body: bytes,
+        request: HttpRequest,
         limits: ResponseLimits,
-        headers: tuple[tuple[str, str], ...] = (),
-    ) -> HttpReply:
+        read: Callable[[HttpReply], _Answer],
+    ) -> _Answer:
         """Sends one request and reads its response.
 
+        The connection carries another request only if the status is 200 and
+        the response was read without an error: whatever arrives late on the
+        connection of a refusal then refuses no later request.
+
         Args:
-            method: HTTP method.
-            path: path and query.
-            body: request body; empty for none.
+            request: the request.
             limits: limits of the response.
-            headers: additional headers.
+            read: decodes the response; raises ``UnexpectedResponse`` if it
+                does not fit the request, and any other error as it likes.
 
         Returns:
-            The complete response.
+            What ``read`` returned.
 
         Raises:
             HttpNotSent: no connection could be opened.
-            HttpResponseLost: the connection broke, or a time limit passed
-                after it was opened.
+            HttpResponseLost: the connection broke, a time limit passed after
+                it was opened, or the response does not fit the request.
             HttpResponseTooLong: the response exceeds the limit of its size.
         """
         clock = asyncio.get_running_loop().time
         connection: HttpConnection | None = None
+        reusable = False
         try:
             async with (
                 asyncio.timeout(limits.total),
                 asyncio.timeout(limits.start) as stall,
             ):
                 connection = await self._acquire()
-                return await connection.exchange(
-                    HttpRequest(method, path, body, headers),
+                reply = await connection.exchange(
+                    request,
                     limits.size,
                     lambda: stall.reschedule(clock() + limits.progress),
                 )
+            answer = read(reply)
+            reusable = reply.status == _OK
+            return answer
         except ResponseTooLong as error:
             received = 0 if connection is None else connection.received
             raise HttpResponseTooLong(str(error), received) from error
         except _CONNECTION_ERRORS as error:
-            cause = f'{method} {path}: {str(error) or type(error).__name__}'
+            detail = str(error) or type(error).__name__
+            cause = f'{request.method} {request.path}: {detail}'
             if connection is None:
                 raise HttpNotSent(cause) from error
             # What made this connection silent may have met the others too.
             self.close()
-            closed = not isinstance(error, TimeoutError)
+            closed = not isinstance(error, TimeoutError | UnexpectedResponse)
             raise HttpResponseLost(
                 cause, connection.received, closed=closed
             ) from error
         finally:
-            self._release(connection)
+            self._release(connection, reusable=reusable)
 
     def close(self) -> None:
         """Closes idle connections."""
@@ -165,17 +181,29 @@
     async def _acquire(self) -> HttpConnection:
         while self._idle:
             connection = self._idle.pop()
-            if connection.usable:
+            if await _is_reusable(connection):
                 return connection
-            connection.close()
         reader, writer = await dial(self._address, self._via)
         host = f'{self._address.host}:{self._address.port}'
         return HttpConnection(reader, writer, host)
 
-    def _release(self, connection: HttpConnection | None) -> None:
+    def _release(
+        self, connection: HttpConnection | None, *, reusable: bool
+    ) -> None:
         if connection is None:
             return
-        if connection.usable and len(self._idle) < _MAX_IDLE:
+        if reusable and connection.usable and len(self._idle) < _MAX_IDLE:
             self._idle.append(connection)
         else:
             connection.abort()
+
+
+async def _is_reusable(connection: HttpConnection) -> bool:
+    """Aborts a connection that can carry no other request."""
+    reusable = False
+    try:
+        reusable = connection.usable and await connection.is_silent()
+    finally:
+        if not reusable:
+            connection.abort()
+    return reusable
