--- a/packages/cowslipfork-direct/src/cowslipfork_direct/exchange.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/exchange.py
@@ -114,18 +114,18 @@
             reply = await self._read()
             match = self._matcher.match(command, reply)
             if match is not Match.ANSWER:
-                self._record(match, command, reply)
+                self._log_unmatched(match, command, reply)
             if match is Match.SURPLUS or self._is_copy(match, reply):
                 self._copies.record_copy(self._endpoint)
                 continue
             if match is Match.REPEATED and isinstance(command, Run | Execute):
-                reply = await self._probe(command, reply)
+                reply = await self._find_answer(command, reply)
             self._matcher.accept(reply)
             return reply
         raise LinkLost(self._endpoint, 'too many replies without a command')
 
     def _is_copy(self, match: Match, reply: EndpointReply) -> bool:
-        """Returns whether a success is a copy of an endpoint with copies."""
+        """Returns whether a repeated success is dropped without a probe."""
         success = reply.code is ReplyCode.DONE
         return self.distrusted and success and match is Match.REPEATED
 
@@ -135,7 +135,7 @@
         if not same_state or not _answers_probe(reply):
             raise self._undecided()
 
-    async def _probe(
+    async def _find_answer(
         self, command: Command, first: EndpointReply
     ) -> EndpointReply:
         """Finds the answer to a command whose reply may be a copy.
@@ -148,30 +148,45 @@
             # Copies of earlier probes could pass for the answers to this one.
             raise self._undecided()
         self._send(PROBE)
-        candidates = [first]
-        answers: list[EndpointReply] = []
-        while len(answers) < len(PROBE):
-            reply = await self._read()
-            found = answers if _answers_probe(reply) else candidates
-            found.append(reply)
-            if len(candidates) > MAX_SURPLUS:
-                raise self._undecided()
+        candidates, state = await self._read_probed(first)
         if len(candidates) > 1 or first.code is ReplyCode.DONE:
             self._copies.record_copy(self._endpoint)
         answer = self._matcher.choose(command, candidates)
-        if answer is None or not _same_state(answers):
+        if answer is None:
             raise self._undecided()
         # A copy may tell an earlier state of the transaction.
         return replace(
             answer,
-            transaction_open=answers[-1].transaction_open,
-            transaction_failed=answers[-1].transaction_failed,
+            transaction_open=state.transaction_open,
+            transaction_failed=state.transaction_failed,
         )
 
+    async def _read_probed(
+        self, first: EndpointReply
+    ) -> tuple[list[EndpointReply], EndpointReply]:
+        """Reads up to the answers to a probe.
+
+        Args:
+            first: the reply before the probe was sent.
+
+        Returns:
+            The replies that may be the answer in question, and an answer to
+            the probe, which tells the state of the transaction.
+        """
+        candidates = [first]
+        answers: list[EndpointReply] = []
+        while len(answers) < len(PROBE) and len(candidates) <= MAX_SURPLUS:
+            reply = await self._read()
+            found = answers if _answers_probe(reply) else candidates
+            found.append(reply)
+        if len(answers) < len(PROBE) or not _same_state(answers):
+            raise self._undecided()
+        return candidates, answers[-1]
+
     def _undecided(self) -> LinkLost:
         return LinkLost(self._endpoint, 'a reply answers no command')
 
-    def _record(
+    def _log_unmatched(
         self, match: Match, command: Command, reply: EndpointReply
     ) -> None:
         self._copies.count(match)
