Names of the store's wire stay in platform/

The matching of the store's answers read the platform's fields and header under their wire names outside of platform/. No decision differs.

--- a/packages/cowslipfork-direct/src/cowslipfork_direct/store_answers.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/store_answers.py
@@ -12,10 +12,9 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
 from typing import Final
 
-import msgspec
-
 from cowslipfork.store.port import (
     Event,
     LeaseId,
@@ -36,22 +35,23 @@
 _REFUSED: Final = range(400, 500)
 
 
-class LeaseAnswer(msgspec.Struct):
-    """Fields that tell an answer about a lease from one about keys.
+@dataclass(frozen=True, slots=True)
+class LeaseAnswer:
+    """What tells an answer about a lease from one about keys.
 
     Attributes:
         lease: number of the lease; 0 if it is not told.
-        ttlMs: time to live in milliseconds; 0 if it is not told.
+        ttl_ms: time to live in milliseconds; 0 if it is not told.
         key: key of an item; empty in an answer about a lease.
-        revision: revision of an item or a transaction.
-        currentRev: revision of a read.
+        revision: revision of an item or a transaction; 0 if it is not told.
+        read_revision: revision of a read; 0 if it is not told.
     """
 
     lease: int = 0
-    ttlMs: float = 0  # noqa: N815
+    ttl_ms: float = 0
     key: str = ''
     revision: int = 0
-    currentRev: int = 0  # noqa: N815
+    read_revision: int = 0
 
 
 class KnownRevision:
@@ -159,7 +159,7 @@
         UnexpectedResponse: it grants no lease, or the last one again.
     """
     lease = LeaseId(answer.lease)
-    if not (lease and answer.ttlMs) or answer.key or lease == last:
+    if not (lease and answer.ttl_ms) or answer.key or lease == last:
         raise UnexpectedResponse(f'no grant of a lease: {answer}')
     return lease
 
@@ -175,8 +175,8 @@
         UnexpectedResponse: it is that to a read, to a write or to the grant
             of another lease.
     """
-    changes = answer.revision or answer.currentRev
-    is_of_keys = answer.key or (changes and not answer.ttlMs)
+    changes = answer.revision or answer.read_revision
+    is_of_keys = answer.key or (changes and not answer.ttl_ms)
     if is_of_keys or answer.lease not in {0, lease}:
         raise UnexpectedResponse(f'no renewal of lease {lease}: {answer}')
 
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/store_calls.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/store_calls.py
@@ -29,9 +29,6 @@
 
 log = logging.getLogger(__name__)
 
-#: Header of each answer with the era of the store, in lower case.
-ERA_HEADER: Final = 'store-era'
-
 _MS_PER_SECOND: Final = 1000
 
 _OK: Final = 200
@@ -57,14 +54,18 @@
 class StoreCalls:
     """Makes calls and tells failed ones from those with an unknown result."""
 
-    def __init__(self, eras: EraTracker, counts: Counter[str]) -> None:
+    def __init__(
+        self, eras: EraTracker, era_header: str, counts: Counter[str]
+    ) -> None:
         """Starts without calls.
 
         Args:
             eras: is told the era in each answer.
+            era_header: header of an answer with the era, in lower case.
             counts: counter of calls by name and status.
         """
         self._eras = eras
+        self._era_header = era_header
         self._counts = counts
 
     async def run(
@@ -92,7 +93,7 @@
 
         def read_checked(reply: HttpReply) -> _Answer:
             self._counts[f'{call.operation} {reply.status}'] += 1
-            self._eras.check(call.operation, era, _era_of(reply))
+            self._eras.check(call.operation, era, self._era_of(reply))
             return read(reply)
 
         try:
@@ -111,6 +112,13 @@
                 call.operation, str(error), closed=error.closed
             ) from error
 
+    def _era_of(self, reply: HttpReply) -> StoreEra | None:
+        """Returns the era in an answer; None if a refusal does not tell it."""
+        era = parse_whole_number(reply.headers.get(self._era_header, ''))
+        if era is not None:
+            return StoreEra(era)
+        return ONLY_ERA if reply.status == _OK else None
+
 
 def lost_answer_error(
     operation: str, cause: str, *, closed: bool = False
@@ -147,12 +155,3 @@
             'cause': str(error),
         },
     )
-
-
-def _era_of(reply: HttpReply) -> StoreEra | None:
-    """Returns the era in an answer; None if a refusal does not tell it."""
-    text = reply.headers.get(ERA_HEADER, '')
-    era = parse_whole_number(text)
-    if era is not None:
-        return StoreEra(era)
-    return ONLY_ERA if reply.status == _OK else None
--- a/packages/cowslipfork-direct/tests/test_store_answers.py
+++ b/packages/cowslipfork-direct/tests/test_store_answers.py
@@ -92,13 +92,13 @@
     [
         LeaseAnswer(),
         LeaseAnswer(lease=5),
-        LeaseAnswer(ttlMs=5000),
-        LeaseAnswer(lease=4, ttlMs=5000),
-        LeaseAnswer(lease=5, ttlMs=5000, key='k'),
+        LeaseAnswer(ttl_ms=5000),
+        LeaseAnswer(lease=4, ttl_ms=5000),
+        LeaseAnswer(lease=5, ttl_ms=5000, key='k'),
     ],
 )
 def test_an_answer_without_a_new_lease_is_no_grant(answer):
-    assert ensure_granted(LeaseAnswer(lease=5, ttlMs=5000), 4) == 5
+    assert ensure_granted(LeaseAnswer(lease=5, ttl_ms=5000), 4) == 5
     with pytest.raises(UnexpectedResponse):
         ensure_granted(answer, 4)
 
@@ -108,8 +108,8 @@
     [
         LeaseAnswer(),
         LeaseAnswer(lease=4),
-        LeaseAnswer(ttlMs=5000),
-        LeaseAnswer(lease=4, ttlMs=5000, currentRev=7),
+        LeaseAnswer(ttl_ms=5000),
+        LeaseAnswer(lease=4, ttl_ms=5000, read_revision=7),
     ],
 )
 def test_an_answer_about_the_lease_renews_it(answer):
@@ -119,10 +119,10 @@
 @pytest.mark.parametrize(
     'answer',
     [
-        LeaseAnswer(lease=5, ttlMs=5000),
+        LeaseAnswer(lease=5, ttl_ms=5000),
         LeaseAnswer(lease=4, key='k', revision=7),
         LeaseAnswer(revision=7),
-        LeaseAnswer(currentRev=7),
+        LeaseAnswer(read_revision=7),
     ],
 )
 def test_an_answer_about_something_else_renews_no_lease(answer):
