A test that sees the distrust after one dropped copy switched off

Cause: the mutant 'one copy makes its endpoint distrusted' was missed: since unread bytes count as copies too, the tests over sockets passed without it.

--- a/packages/cowslipfork-direct/tests/test_exchange.py
+++ b/packages/cowslipfork-direct/tests/test_exchange.py
@@ -219,6 +219,15 @@
         assert answer == answer_to(endpoint, READ)
 
 
+async def test_one_dropped_copy_makes_its_endpoint_distrusted(endpoint):
+    exchange = exchange_with(endpoint)
+    (done,) = await exchange.run(SET)
+    endpoint.send_copy(done)
+    assert not exchange.distrusted
+    await exchange.run(READ)
+    assert exchange.distrusted
+
+
 async def test_endless_replies_without_a_command_close_the_connection(
     endpoint,
 ):
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/answer_table.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/answer_table.py
@@ -98,6 +98,6 @@
         _DIRECT / 'exchange.py',
         '                self._copies.record_copy(self._endpoint)\n',
         '',
-        f'{_PLATFORM_TESTS}/test_repeated_answers.py',
+        _EXCHANGE,
     ),
 )
