Replies around a probe are a typed value

No decision differs.

Measured: test_exchange and the mutants' tests (234), test_repeated_answers and test_endpoints (45), lint and types pass.

--- a/packages/cowslipfork-direct/src/cowslipfork_direct/exchange.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/exchange.py
@@ -13,7 +13,7 @@
 
 import logging
 from collections.abc import Awaitable, Callable, Sequence
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from typing import Final
 
 from cowslipfork.ids import EndpointId
@@ -52,6 +52,19 @@
 ReadReply = Callable[[], Awaitable[EndpointReply]]
 
 
+@dataclass(frozen=True, slots=True)
+class _Probed:
+    """Replies around a probe.
+
+    Attributes:
+        candidates: replies of which one may be the answer in question.
+        last: last answer to the probe; tells the state of the transaction.
+    """
+
+    candidates: list[EndpointReply]
+    last: EndpointReply
+
+
 class Exchange:
     """Commands and replies of one connection."""
 
@@ -148,30 +161,24 @@
             # Copies of earlier probes could pass for the answers to this one.
             raise self._undecided()
         self._send(PROBE)
-        candidates, state = await self._read_probed(first)
-        if len(candidates) > 1 or first.code is ReplyCode.DONE:
+        probed = await self._read_probed(first)
+        if len(probed.candidates) > 1 or first.code is ReplyCode.DONE:
             self._copies.record_copy(self._endpoint)
-        answer = self._matcher.choose(command, candidates)
+        answer = self._matcher.choose(command, probed.candidates)
         if answer is None:
             raise self._undecided()
         # A copy may tell an earlier state of the transaction.
         return replace(
             answer,
-            transaction_open=state.transaction_open,
-            transaction_failed=state.transaction_failed,
+            transaction_open=probed.last.transaction_open,
+            transaction_failed=probed.last.transaction_failed,
         )
 
-    async def _read_probed(
-        self, first: EndpointReply
-    ) -> tuple[list[EndpointReply], EndpointReply]:
+    async def _read_probed(self, first: EndpointReply) -> _Probed:
         """Reads up to the answers to a probe.
 
         Args:
             first: the reply before the probe was sent.
-
-        Returns:
-            The replies that may be the answer in question, and an answer to
-            the probe, which tells the state of the transaction.
         """
         candidates = [first]
         answers: list[EndpointReply] = []
@@ -181,7 +188,7 @@
             found.append(reply)
         if len(answers) < len(PROBE) or not _same_state(answers):
             raise self._undecided()
-        return candidates, answers[-1]
+        return _Probed(candidates, answers[-1])
 
     def _undecided(self) -> LinkLost:
         return LinkLost(self._endpoint, 'a reply answers no command')
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/reply_matching.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/reply_matching.py
@@ -120,7 +120,10 @@
 
 
 def _identity_of(reply: EndpointReply) -> int:
-    """Returns what a reply and its copies have in common."""
+    """Returns what a reply and its copies have in common.
+
+    A hash, so that the rows of earlier replies need not be kept.
+    """
     return hash((reply.code, reply.rows, reply.signature, reply.detail))
 
 
