--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,6 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
+cd "$(dirname "$0")/../.." || exit 2
+test -d target/deps && test -d target/review-2 || exit 2
+REVIEW_ROOT=$(pwd) REVIEW_CASE="$(pwd)/review/10" \
+  PYTHONPATH="target/deps:target/review-2" exec python3 -S review/10/case.py
