--- a/packages/cowslipfork-direct/src/cowslipfork_direct/allowed_primaries.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/allowed_primaries.py
@@ -24,9 +24,13 @@
         self._ceiling = max(self._ceiling, ceiling)
         self._candidate = candidate
 
-    def allow_all(self) -> None:
-        """Allows every primary again."""
-        self._ceiling = Term(0)
+    def allow_from(self, lowest: Term) -> None:
+        """Allows the primaries of a term and of later ones.
+
+        Args:
+            lowest: the term.
+        """
+        self._ceiling = Term(lowest - 1)
         self._candidate = None
 
     def rejects(self, term: Term) -> bool:
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/group.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/group.py
@@ -336,9 +336,13 @@
         if last is None or last.term < leader.term:
             self._last_leader = leader
 
-    def accept_primaries(self) -> None:
-        """Accepts the old primary again, as after an abandoned promotion."""
-        self._allowed_primaries.allow_all()
+    def accept_primaries(self, lowest: Term) -> None:
+        """Accepts the old primary again, as after an abandoned promotion.
+
+        Args:
+            lowest: lowest term that is accepted.
+        """
+        self._allowed_primaries.allow_from(lowest)
         self._paused = False
         for endpoint in self._observed_statuses.endpoints:
             self.forget(endpoint)
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/fencing.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/fencing.py
@@ -327,7 +327,18 @@
 
     async def _demote_old_primary(self) -> bool:
         old = self._takeover.old
-        endpoint = self._group.endpoints.get(old) if old else None
+        return old is not None and await self.demote(old)
+
+    async def demote(self, name: EndpointId) -> bool:
+        """Makes a primary of an earlier term a replica.
+
+        Args:
+            name: the primary.
+
+        Returns:
+            Whether it is a replica now.
+        """
+        endpoint = self._group.endpoints.get(name)
         if endpoint is None:
             return False
         term = self._fence_term()
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/promoter.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/promoter.py
@@ -17,6 +17,15 @@
 from cowslipfork_direct.link import EndpointRole, EndpointStatus, Link
 from cowslipfork_direct.promotion import OrderResult, PromotionOrder
 from cowslipfork_direct.takeover.claims import Claim
+from cowslipfork_direct.takeover.decision import (
+    Abandon,
+    Demote,
+    EndpointReport,
+    Promote,
+    Step,
+    may_abandon_unseen,
+    next_step,
+)
 from cowslipfork_direct.takeover.fencing import Fencing
 from cowslipfork_direct.takeover.records import (
     Takeover,
@@ -71,6 +80,9 @@
         self._endpoint_monitor = endpoint_monitor
         self._claim = claim
         self._deadline = boot_time() + TAKEOVER_TIMEOUT
+        self._fencing = Fencing(
+            context, group, endpoint_monitor, claim.takeover, self._deadline
+        )
         #: Endpoints that the platform can't promote now.
         self._refused: set[EndpointId] = set()
         #: Endpoint of an order without an answer.
@@ -84,19 +96,14 @@
         """Promotes a replica or abandons the takeover.
 
         The takeover is abandoned if the use of the old primary can't be
-        stopped in time.
+        stopped in time, unless another endpoint may have become primary.
         """
-        fencing = Fencing(
-            self._context,
-            self._group,
-            self._endpoint_monitor,
-            self._takeover,
-            self._deadline,
-        )
-        if await fencing.stop_old_primary():
+        if await self._fencing.stop_old_primary():
             await self._promote()
-        else:
+        elif may_abandon_unseen(self._takeover):
             await self._abandon()
+        else:
+            log.error('takeover_stuck', extra={'group': self._group.name})
 
     async def _promote(self) -> None:
         """Orders promotions until one is accepted.
@@ -110,18 +117,75 @@
             if boot_time() >= self._deadline:
                 log.error('takeover_stuck', extra={'group': self._group.name})
                 return
-            candidate = self._uncertain or await self._choose_candidate(
-                stopped_at
-            )
-            if candidate is None:
-                self._refused.clear()
-                ended = await self._abandon_if_needless(stopped_at)
-            else:
-                ended = await self._promote_candidate(candidate)
-            if ended:
+            if await self._take_step(await self._next_step(stopped_at)):
                 return
             await asyncio.sleep(RETRY_INTERVAL)
 
+    async def _next_step(self, stopped_at: float) -> Step:
+        """Returns the next step.
+
+        Args:
+            stopped_at: boot time since which the old primary is not used.
+        """
+        if self._uncertain is not None:
+            return Promote(self._uncertain)
+        if self._takeover.kind is TakeoverKind.HANDOVER:
+            await self._await_catch_up()
+        knows_every_commit = await self._knows_every_commit(stopped_at)
+        reports = self._reports(stopped_at)
+        if not knows_every_commit:
+            reports = [report for report in reports if report.is_primary]
+        return next_step(self._takeover, reports, self._refused)
+
+    async def _take_step(self, step: Step) -> bool:
+        """Takes a step.
+
+        Returns:
+            Whether this promoter has nothing more to do.
+        """
+        match step:
+            case Promote(candidate):
+                return await self._promote_candidate(candidate)
+            case Abandon():
+                await self._abandon()
+                return True
+            case Demote(endpoint):
+                await self._demote(endpoint)
+        self._refused.clear()
+        return False
+
+    async def _demote(self, name: EndpointId) -> None:
+        log.warning(
+            'doubtful_primary_demoted',
+            extra={
+                'group': self._group.name,
+                'endpoint': name,
+                'ceiling': self._takeover.ceiling,
+            },
+        )
+        await self._fencing.demote(name)
+
+    def _reports(self, stopped_at: float) -> list[EndpointReport]:
+        """Returns what the reachable endpoints reported.
+
+        Args:
+            stopped_at: boot time since which the old primary is not used.
+        """
+        observed = [
+            (endpoint, self._group.observed_status(endpoint.id))
+            for endpoint in self._group.reachable_endpoints
+        ]
+        return [
+            EndpointReport(
+                endpoint.id,
+                one.status,
+                recent=one.begun >= stopped_at,
+                leaving=endpoint.listed.leaving,
+            )
+            for endpoint, one in observed
+            if one is not None
+        ]
+
     async def _promote_candidate(self, candidate: EndpointId) -> bool:
         """Orders the promotion of a candidate once.
 
@@ -138,38 +202,6 @@
             self._refused.add(candidate)
         return self._uncertain in self._refused
 
-    async def _choose_candidate(self, stopped_at: float) -> EndpointId | None:
-        """Returns the replica that has received most of the log, if any.
-
-        Of several, one that is not about to leave is preferred. A primary that
-        was demoted in a handover leads again if there is no other one.
-
-        Args:
-            stopped_at: boot time since which the old primary is not used.
-        """
-        handover = self._takeover.kind is TakeoverKind.HANDOVER
-        if handover:
-            await self._await_catch_up()
-        if not await self._knows_every_commit(stopped_at):
-            return None
-        received = {
-            endpoint.id: self._received_mark(endpoint.id)
-            for endpoint in self._group.reachable_endpoints
-            if endpoint.id not in self._refused
-        }
-        marks = {
-            name: mark for name, mark in received.items() if mark is not None
-        }
-        return max(
-            marks,
-            key=lambda name: (
-                not (handover and name == self._takeover.old),
-                marks[name],
-                self._is_staying(name),
-            ),
-            default=None,
-        )
-
     async def _knows_every_commit(self, stopped_at: float) -> bool:
         """Returns whether the statuses show each acknowledged commit.
 
@@ -209,37 +241,6 @@
         recent = observed is not None and observed.begun >= stopped_at
         return self._received_mark(name) if recent else None
 
-    async def _abandon_if_needless(self, stopped_at: float) -> bool:
-        """Gives the takeover up if the old primary is there again.
-
-        It has every commit, so it may go on unless it was demoted or another
-        endpoint has been ordered.
-
-        Args:
-            stopped_at: boot time since which the old primary is not used.
-
-        Returns:
-            Whether the takeover was given up.
-        """
-        needless = self._old_primary_leads(stopped_at)
-        if needless:
-            await self._abandon()
-        return needless
-
-    def _old_primary_leads(self, stopped_at: float) -> bool:
-        old = self._takeover.old
-        observed = self._group.observed_status(old) if old else None
-        return (
-            self._takeover.phase is TakeoverPhase.CLAIMED
-            and observed is not None
-            and observed.begun >= stopped_at
-            and observed.status.role is EndpointRole.PRIMARY
-        )
-
-    def _is_staying(self, name: EndpointId) -> bool:
-        endpoint = self._group.endpoints[name]
-        return not endpoint.listed.leaving
-
     def _received_mark(self, name: EndpointId) -> Mark | None:
         observed = self._group.observed_status(name)
         if observed is None or observed.status.role is EndpointRole.PRIMARY:
@@ -266,7 +267,7 @@
     def _has_caught_up(self, stopped_at: float) -> bool:
         """Returns whether a replica has the old primary's whole log.
 
-        True as well if the old primary can't be reached.
+        True as well if the old primary or all others can't be reached.
 
         Args:
             stopped_at: boot time since which the old primary is not used; its
@@ -284,7 +285,7 @@
             for other in self._group.reachable_endpoints
             if other.id != old and other.id not in self._refused
         ]
-        return any(
+        return not received or any(
             mark is not None and mark >= observed.status.received
             for mark in received
         )
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/records.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/records.py
@@ -112,6 +112,11 @@
         """Whether it is neither done nor abandoned."""
         return self.phase in {TakeoverPhase.CLAIMED, TakeoverPhase.ORDERED}
 
+    @property
+    def last_led_term(self) -> Term:
+        """Highest term that certainly had a primary when it was claimed."""
+        return Term(self.term - 1)
+
     def is_ahead_of(self, other: Takeover) -> bool:
         """Returns whether this is a later state of the group's primary.
 
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/takeover_handler.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/takeover_handler.py
@@ -71,7 +71,7 @@
             takeover: new state of the group's takeover.
         """
         if takeover.phase is TakeoverPhase.ABANDONED:
-            self._group.accept_primaries()
+            self._group.accept_primaries(takeover.ceiling)
         elif _allows_drain(takeover):
             self._group.pause()
         else:
--- /dev/null
+++ b/packages/cowslipfork-direct/tests/takeover/test_decision.py
@@ -0,0 +1,126 @@
+"""The next step of a takeover, from its record and what endpoints report."""
+
+import pytest
+
+from cowslipfork.ids import EndpointId, GroupName, Mark, Position, Term, VmId
+from cowslipfork_direct.link import EndpointRole, EndpointStatus
+from cowslipfork_direct.takeover.decision import (
+    Abandon,
+    Demote,
+    EndpointReport,
+    Promote,
+    Wait,
+    may_abandon_unseen,
+    next_step,
+)
+from cowslipfork_direct.takeover.records import (
+    ClaimId,
+    Takeover,
+    TakeoverKind,
+    TakeoverPhase,
+)
+
+
+def takeover(*, led=1, ceiling=1, phase=TakeoverPhase.CLAIMED, handover=False):
+    """A takeover of e1; ``ceiling`` above ``led`` means an unseen order."""
+    kind = TakeoverKind.HANDOVER if handover else TakeoverKind.FAILOVER
+    return Takeover(
+        GroupName('g'),
+        Term(led + 1),
+        Term(ceiling),
+        EndpointId('e1'),
+        kind,
+        phase,
+        VmId('n1'),
+        ClaimId('claim'),
+    )
+
+
+def primary(name, term, *, recent=True):
+    return report(name, EndpointRole.PRIMARY, term, recent=recent)
+
+
+def replica(name, position, *, log_term=1, leaving=False):
+    return report(
+        name, EndpointRole.REPLICA, 1, log_term, position, leaving=leaving
+    )
+
+
+def report(
+    name, role, term, log_term=1, position=9, *, recent=True, leaving=False
+):
+    received = Mark(Term(log_term), Position(position))
+    status = EndpointStatus(role, Term(term), received, Term(0), 0, 0, 0)
+    return EndpointReport(EndpointId(name), status, recent, leaving)
+
+
+@pytest.mark.parametrize(
+    ('claimed', 'reports', 'step'),
+    [
+        (takeover(), [], Wait()),
+        (takeover(), [replica('e2', 5), replica('e3', 6)], Promote('e3')),
+        (
+            takeover(),
+            [replica('e2', 9), replica('e3', 1, log_term=2)],
+            Promote('e3'),
+        ),
+        (
+            takeover(),
+            [replica('e2', 5, leaving=True), replica('e3', 5)],
+            Promote('e3'),
+        ),
+        (
+            takeover(handover=True),
+            [replica('e1', 9), replica('e2', 9)],
+            Promote('e2'),
+        ),
+        (takeover(handover=True), [replica('e1', 9)], Promote('e1')),
+        (takeover(), [primary('e1', 1), replica('e2', 5)], Promote('e2')),
+        # No order was sent: the old primary goes on.
+        (takeover(), [primary('e1', 1)], Abandon('e1')),
+        (takeover(), [primary('e1', 1, recent=False)], Wait()),
+        # An order of this takeover may take effect.
+        (
+            takeover(phase=TakeoverPhase.ORDERED),
+            [primary('e1', 1)],
+            Demote('e1'),
+        ),
+        # An earlier order may have made a primary of term 2.
+        (takeover(ceiling=2), [primary('e1', 1)], Demote('e1')),
+        (takeover(ceiling=2), [primary('e2', 2)], Abandon('e2')),
+        (
+            takeover(ceiling=2),
+            [primary('e1', 1), primary('e2', 2)],
+            Abandon('e2'),
+        ),
+        (takeover(ceiling=3), [primary('e2', 2)], Demote('e2')),
+        # A primary of term 2 was seen: the log of term 1 is outdated.
+        (takeover(led=2, ceiling=2), [primary('e1', 1)], Wait()),
+    ],
+)
+def test_the_next_step_follows_from_the_terms_of_the_record(
+    claimed, reports, step
+):
+    """Guards against decisions by what answers at this moment only."""
+    assert next_step(claimed, reports) == step
+
+
+def test_a_refused_candidate_is_left_out():
+    reports = [replica('e2', 5), replica('e3', 6)]
+    assert next_step(takeover(), reports, {'e3'}) == Promote('e2')
+    assert next_step(takeover(), reports, {'e2', 'e3'}) == Wait()
+
+
+@pytest.mark.parametrize(
+    ('claimed', 'allowed'),
+    [
+        (takeover(), True),
+        (takeover(ceiling=2), False),
+        (takeover(phase=TakeoverPhase.ORDERED), False),
+    ],
+)
+def test_a_takeover_is_abandoned_unseen_only_if_nothing_was_ordered(
+    claimed, allowed
+):
+    """Guards against an old primary that returns after a fencing timeout."""
+    assert may_abandon_unseen(claimed) is allowed
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/direct_table.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/direct_table.py
@@ -410,4 +410,18 @@
         'if answer_by:',
         f'{_TESTS}/test_leaving.py',
     ),
+    Mutant(
+        'direct: a takeover is abandoned for a primary of the last term only',
+        _DIRECT / 'takeover/decision.py',
+        'and report.status.term >= takeover.ceiling',
+        'and report.status.term >= 0',
+        f'{_TAKEOVER}/test_unseen_promotions.py',
+    ),
+    Mutant(
+        'direct: an abandoned takeover brings back no earlier primary',
+        _DIRECT / 'allowed_primaries.py',
+        'self._ceiling = Term(lowest - 1)',
+        'self._ceiling = Term(0)',
+        f'{_TAKEOVER}/test_unseen_promotions.py',
+    ),
 )
