--- a/packages/cowslipfork-direct/src/cowslipfork_direct/endpoint_monitor.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/endpoint_monitor.py
@@ -178,6 +178,10 @@
         """
         return await self.control(endpoint, _status) is not None
 
+    async def inspect_all(self, endpoints: Iterable[Endpoint]) -> None:
+        """Requests the statuses of several endpoints at once."""
+        await asyncio.gather(*map(self.inspect, endpoints))
+
     async def control(
         self,
         endpoint: Endpoint,
@@ -260,7 +264,7 @@
             if self._group.leader is not None:
                 await change_event.wait()
                 continue
-            await self._inspect_all(self._group.reachable_endpoints)
+            await self.inspect_all(self._group.reachable_endpoints)
             await asyncio.sleep(LEADER_SEARCH_PAUSE)
 
     async def _inspect_outdated(self) -> None:
@@ -272,7 +276,7 @@
                 for endpoint in self._replicas()
                 if not self._group.follows(endpoint.id)
             ]
-            await self._inspect_all(outdated)
+            await self.inspect_all(outdated)
             await asyncio.sleep(OUTDATED_STATUS_PAUSE)
             self._statuses_requested.clear()
 
@@ -322,9 +326,9 @@
         needed = self._group.confirmations_needed
         replicas = self._replicas()
         if self._group.leader_lease.renewal_due:
-            await self._inspect_all(replicas[:needed])
+            await self.inspect_all(replicas[:needed])
         if self._group.leader_lease.renewal_due:
-            await self._inspect_all(replicas[needed:])
+            await self.inspect_all(replicas[needed:])
 
     async def _ask_leader(self) -> None:
         leader = self._group.leader
@@ -332,9 +336,6 @@
         if endpoint and self._leader_status_missing:
             await self.inspect(endpoint)
 
-    async def _inspect_all(self, endpoints: Iterable[Endpoint]) -> None:
-        await asyncio.gather(*map(self.inspect, endpoints))
-
     def _replicas(self) -> list[Endpoint]:
         """Returns reachable replicas, those with the least load first."""
         group = self._group
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/group.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/group.py
@@ -121,6 +121,13 @@
         """Primary for new work; None during a handover."""
         return None if self._paused else self._leader
 
+    @property
+    def seconds_without_leader(self) -> float:
+        """Seconds since the primary was lost; 0 while there is one."""
+        if self._leader is not None:
+            return 0
+        return asyncio.get_running_loop().time() - self._leaderless_since
+
     @property
     def last_leader(self) -> Leader | None:
         """Primary that was last known, reachable or not."""
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/group_services.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/group_services.py
@@ -16,6 +16,7 @@
 from cowslipfork_direct.group import Group
 from cowslipfork_direct.long_lived import keep_running
 from cowslipfork_direct.takeover import (
+    DepartureTracker,
     PrimarySupervisor,
     SuspicionReporter,
     Takeover,
@@ -113,17 +114,21 @@
         cached = context.takeover_cache.takeover(group.name)
         if cached is not None:
             takeover_handler.apply(cached.takeover)
-        primary_supervisor = PrimarySupervisor(
-            context, group, endpoint_monitor, suspicion_reporter
+        departure_tracker = DepartureTracker(context, group, endpoint_monitor)
+        self._start('endpoint_monitor', endpoint_monitor.run)
+        self._start('takeover_handler', takeover_handler.run)
+        self._start('suspicion_reporter', suspicion_reporter.run)
+        self._start('departure_tracker', departure_tracker.run)
+        self._start(
+            'primary_supervisor',
+            PrimarySupervisor(
+                context,
+                group,
+                endpoint_monitor,
+                suspicion_reporter,
+                departure_tracker,
+            ).run,
         )
-        parts = {
-            'endpoint_monitor': endpoint_monitor.run,
-            'takeover_handler': takeover_handler.run,
-            'suspicion_reporter': suspicion_reporter.run,
-            'primary_supervisor': primary_supervisor.run,
-        }
-        for name, run in parts.items():
-            self._start(name, run)
 
     def _start(self, name: str, run: Callable[[], Awaitable[None]]) -> None:
         on_failure = self._context.metrics.count_task_failure
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/node.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/node.py
@@ -62,6 +62,7 @@
 from cowslipfork_direct.takeover import (
     TAKEOVERS_PREFIX,
     Claims,
+    DepartureCache,
     Takeover,
     TakeoverCache,
     TakeoverContext,
@@ -128,6 +129,7 @@
             options.direct_connections,
         )
         self._takeover_cache = TakeoverCache(self._on_takeover)
+        self._departure_cache = DepartureCache()
         claims = Claims(
             identity.name,
             self._takeover_cache,
@@ -140,6 +142,7 @@
         self._context = TakeoverContext(
             identity.name,
             self._takeover_cache,
+            self._departure_cache,
             self._fleet,
             self._eras,
             self._settlement,
@@ -197,6 +200,7 @@
                 ),
                 *self._fleet.subscriptions(),
                 *self._takeover_cache.subscriptions(),
+                self._departure_cache.subscription(),
                 self._settlement.subscription(),
             ),
         )
@@ -448,11 +452,13 @@
         self._metrics.count_store_restore()
         self._registration.start_era()
         self._takeover_cache.start_era()
+        self._departure_cache.start_era()
         self._store_watcher.start_era()
         self._services.start_era()
 
     def _on_era_settled(self) -> None:
         self._takeover_cache.settle_era()
+        self._departure_cache.settle_era()
         if not self._eras.restored:
             return
         # A promotion whose record the store has lost may have taken effect.
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/__init__.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/__init__.py
@@ -1,6 +1,8 @@
 """Planned and unplanned changes of a group's primary."""
 
 from cowslipfork_direct.takeover.claims import Claims
+from cowslipfork_direct.takeover.departure_cache import DepartureCache
+from cowslipfork_direct.takeover.departure_tracker import DepartureTracker
 from cowslipfork_direct.takeover.primary_supervisor import PrimarySupervisor
 from cowslipfork_direct.takeover.records import TAKEOVERS_PREFIX, Takeover
 from cowslipfork_direct.takeover.suspicion_reporter import SuspicionReporter
@@ -12,6 +14,8 @@
     'TAKEOVERS_PREFIX',
     'TakeoverCache',
     'Claims',
+    'DepartureCache',
+    'DepartureTracker',
     'TakeoverHandler',
     'PrimarySupervisor',
     'SuspicionReporter',
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/decision.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/decision.py
@@ -43,6 +43,23 @@
         return self.status.role is EndpointRole.PRIMARY
 
 
+@dataclass(frozen=True, slots=True)
+class Evidence:
+    """What is known of a group's endpoints.
+
+    Attributes:
+        reports: what the reachable endpoints reported.
+        synchronous: number of replicas that must hold a commit before the
+            primary acknowledges it.
+        holders: replicas that may hold an acknowledged commit, whether they
+            answer, are listed, or have left.
+    """
+
+    reports: Collection[EndpointReport]
+    synchronous: int = 0
+    holders: frozenset[EndpointId] = frozenset()
+
+
 @dataclass(frozen=True, slots=True)
 class Promote:
     """Order the promotion of a candidate.
@@ -86,7 +103,7 @@
 
 def next_step(
     takeover: Takeover,
-    reports: Collection[EndpointReport],
+    evidence: Evidence,
     refused: Collection[EndpointId] = (),
 ) -> Step:
     """Returns the next step of a takeover.
@@ -98,16 +115,15 @@
 
     Args:
         takeover: the claimed takeover.
-        reports: what the reachable endpoints reported.
+        evidence: what is known of the endpoints.
         refused: endpoints that the platform can't promote now.
     """
-    candidate = choose_candidate(takeover, reports, refused)
-    if candidate is not None:
-        return Promote(candidate)
-    primaries = [
-        report for report in reports if report.recent and report.is_primary
-    ]
-    newest = max(primaries, key=lambda report: report.status.term, default=None)
+    candidate = choose_candidate(takeover, evidence.reports, refused)
+    if candidate is not None and _has_every_commit(
+        takeover, evidence, candidate
+    ):
+        return Promote(candidate.endpoint)
+    newest = _newest_primary(evidence.reports)
     if newest is None:
         return Wait()
     if _leads_last_term(takeover, newest):
@@ -121,7 +137,7 @@
     takeover: Takeover,
     reports: Collection[EndpointReport],
     refused: Collection[EndpointId] = (),
-) -> EndpointId | None:
+) -> EndpointReport | None:
     """Returns the replica that has received most of the log, if any.
 
     Of several, one that is not about to leave is preferred. A primary that
@@ -138,7 +154,7 @@
         if not report.is_primary and report.endpoint not in refused
     ]
     handover = takeover.kind is TakeoverKind.HANDOVER
-    best = max(
+    return max(
         replicas,
         key=lambda report: (
             not (handover and report.endpoint == takeover.old),
@@ -147,7 +163,27 @@
         ),
         default=None,
     )
-    return None if best is None else best.endpoint
+
+
+def knows_every_commit(takeover: Takeover, evidence: Evidence) -> bool:
+    """Returns whether the replicas that answered have each acknowledged commit.
+
+    Each was received by as many replicas as are synchronous. One that does not
+    answer, or has left, may be one of them, so fewer than that number may be
+    missing. It takes as many of the holders to answer, whatever is listed now.
+
+    Args:
+        takeover: the claimed takeover.
+        evidence: what is known of the endpoints.
+    """
+    holders = evidence.holders - {takeover.old}
+    answered = {
+        report.endpoint
+        for report in evidence.reports
+        if report.recent and not report.is_primary
+    }
+    missing = holders - answered
+    return len(missing) < evidence.synchronous
 
 
 def may_abandon_unseen(takeover: Takeover) -> bool:
@@ -169,3 +205,54 @@
         takeover.phase is TakeoverPhase.CLAIMED
         and report.status.term >= takeover.ceiling
     )
+
+
+def _newest_primary(
+    reports: Collection[EndpointReport],
+) -> EndpointReport | None:
+    """Returns the primary of the highest term that has just answered."""
+    primaries = [
+        report for report in reports if report.recent and report.is_primary
+    ]
+    return max(primaries, key=lambda report: report.status.term, default=None)
+
+
+def _has_every_commit(
+    takeover: Takeover, evidence: Evidence, candidate: EndpointReport
+) -> bool:
+    """Returns whether a candidate has each commit that was acknowledged.
+
+    Without synchronous replicas the primary acknowledges commits that no
+    replica has, and nothing can be required.
+    """
+    if not evidence.synchronous:
+        return True
+    if _has_log_of_old_primary(takeover, evidence, candidate):
+        return True
+    received = [
+        report.status.received
+        for report in evidence.reports
+        if not report.is_primary and report.endpoint != takeover.old
+    ]
+    greatest = max(received, default=candidate.status.received)
+    return candidate.status.received >= greatest and knows_every_commit(
+        takeover, evidence
+    )
+
+
+def _has_log_of_old_primary(
+    takeover: Takeover, evidence: Evidence, candidate: EndpointReport
+) -> bool:
+    """Returns whether a candidate has all of the last primary's log.
+
+    That log has each commit, but only if no other primary may have followed.
+    In a failover a primary that answers again goes on instead.
+    """
+    newest = _newest_primary(evidence.reports)
+    if takeover.kind is TakeoverKind.FAILOVER or newest is None:
+        return False
+    return (
+        newest.endpoint == takeover.old
+        and _leads_last_term(takeover, newest)
+        and candidate.status.received >= newest.status.received
+    )
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/primary_supervisor.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/primary_supervisor.py
@@ -8,12 +8,13 @@
 from typing import Final
 
 from cowslipfork.ids import EndpointId, VmId
-from cowslipfork.weights import rendezvous_weight
 from cowslipfork_direct.clock import boot_time
 from cowslipfork_direct.endpoint_monitor import EndpointMonitor
 from cowslipfork_direct.group import Group
 from cowslipfork_direct.takeover.claims import Claim
+from cowslipfork_direct.takeover.departure_tracker import DepartureTracker
 from cowslipfork_direct.takeover.promoter import Promoter
+from cowslipfork_direct.takeover.ranking import DELAY_PER_RANK, write_delay
 from cowslipfork_direct.takeover.records import (
     ClaimId,
     Suspicion,
@@ -28,9 +29,6 @@
 
 log = logging.getLogger(__name__)
 
-#: Seconds that each node waits for the node ranked before it to claim.
-CLAIM_DELAY_PER_RANK: Final = 0.08
-
 #: Seconds without progress after which a node resumes another node's takeover:
 #: longer than the greatest age of a claim whose order is sent, plus the time
 #: that the order takes.
@@ -58,6 +56,7 @@
         group: Group,
         endpoint_monitor: EndpointMonitor,
         suspicion_reporter: SuspicionReporter,
+        departure_tracker: DepartureTracker,
     ) -> None:
         """Claims nothing until ``run``.
 
@@ -66,11 +65,13 @@
             group: the group.
             endpoint_monitor: endpoint monitor of the group.
             suspicion_reporter: holds this node's suspicion of the primary.
+            departure_tracker: tells which replicas have left with commits.
         """
         self._context = context
         self._group = group
         self._endpoint_monitor = endpoint_monitor
         self._suspicion_reporter = suspicion_reporter
+        self._departure_tracker = departure_tracker
         self._last_takeover_at = -math.inf
         self._ended_claim: ClaimId | None = None
 
@@ -97,7 +98,7 @@
             if kind is None:
                 await wait_for_any(*change_events, timeout=POLL_INTERVAL)
                 continue
-            await asyncio.sleep(CLAIM_DELAY_PER_RANK * self._rank())
+            await asyncio.sleep(self._write_delay())
             if self.needed_takeover() is kind:
                 await self._take_over(kind)
 
@@ -166,7 +167,7 @@
 
     async def _record_effect(self, cached: CachedTakeover) -> None:
         """Records the takeover as done, unless another node is about to."""
-        await asyncio.sleep(CLAIM_DELAY_PER_RANK * self._rank())
+        await asyncio.sleep(self._write_delay())
         leader = self._group.leader
         if leader is not None and self._unrecorded_takeover() is cached:
             await self._context.claims.record_effect(cached, leader.term)
@@ -216,22 +217,8 @@
             for endpoint in self._group.endpoints.values()
         )
 
-    def _rank(self) -> int:
-        """Returns this node's rank among the live nodes, from 0.
-
-        The holder of the duty ranks first.
-        """
-        duty = self._context.takeover_cache.duty
-        alive = self._supervisors
-        holder = duty.holder if duty else None
-        if holder == self._context.node:
-            return 0
-        others = sorted(
-            alive - {holder},
-            key=lambda node: rendezvous_weight(self._group.name, node),
-        )
-        offset = int(holder in alive)
-        return offset + others.index(self._context.node)
+    def _write_delay(self) -> float:
+        return write_delay(self._context, self._group.name)
 
     async def _take_over(self, kind: TakeoverKind) -> None:
         group = self._group
@@ -239,7 +226,7 @@
             group.name, kind, self._old_primary(), group.highest_term
         )
         if claim is None:
-            await asyncio.sleep(CLAIM_DELAY_PER_RANK)
+            await asyncio.sleep(DELAY_PER_RANK)
         else:
             await self._carry_out(claim)
 
@@ -257,7 +244,11 @@
         begun = boot_time()
         self._context.metrics.count_takeover_step('claimed')
         await Promoter(
-            self._context, self._group, self._endpoint_monitor, claim
+            self._context,
+            self._group,
+            self._endpoint_monitor,
+            self._departure_tracker,
+            claim,
         ).run()
         self._ended_claim = claim.takeover.claim
         log.warning(
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/promoter.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/promoter.py
@@ -21,11 +21,14 @@
     Abandon,
     Demote,
     EndpointReport,
+    Evidence,
     Promote,
     Step,
+    Wait,
     may_abandon_unseen,
     next_step,
 )
+from cowslipfork_direct.takeover.departure_tracker import DepartureTracker
 from cowslipfork_direct.takeover.fencing import Fencing
 from cowslipfork_direct.takeover.records import (
     Takeover,
@@ -56,6 +59,10 @@
 #: the order.
 PROMOTION_TIMEOUT: Final = 4.0
 
+#: Seconds without a primary during which the replacement of a replica that has
+#: left is waited for, if it may have commits that no other replica has.
+REPLACEMENT_TIMEOUT: Final = 30.0
+
 
 class Promoter:
     """Carries out one takeover that this node has claimed."""
@@ -65,6 +72,7 @@
         context: TakeoverContext,
         group: Group,
         endpoint_monitor: EndpointMonitor,
+        departure_tracker: DepartureTracker,
         claim: Claim,
     ) -> None:
         """Starts the takeover's timeout; the claim is already written.
@@ -73,11 +81,13 @@
             context: dependencies of a takeover's steps.
             group: group whose primary changes.
             endpoint_monitor: endpoint monitor of the group.
+            departure_tracker: tells which replicas have left with commits.
             claim: the claimed takeover.
         """
         self._context = context
         self._group = group
         self._endpoint_monitor = endpoint_monitor
+        self._departure_tracker = departure_tracker
         self._claim = claim
         self._deadline = boot_time() + TAKEOVER_TIMEOUT
         self._fencing = Fencing(
@@ -87,6 +97,8 @@
         self._refused: set[EndpointId] = set()
         #: Endpoint of an order without an answer.
         self._uncertain: EndpointId | None = None
+        #: Replicas that were logged as missing.
+        self._missing: frozenset[EndpointId] = frozenset()
 
     @property
     def _takeover(self) -> Takeover:
@@ -131,11 +143,75 @@
             return Promote(self._uncertain)
         if self._takeover.kind is TakeoverKind.HANDOVER:
             await self._await_catch_up()
-        knows_every_commit = await self._knows_every_commit(stopped_at)
-        reports = self._reports(stopped_at)
-        if not knows_every_commit:
-            reports = [report for report in reports if report.is_primary]
-        return next_step(self._takeover, reports, self._refused)
+        synchronous = self._context.synchronous_replicas(self._group.name)
+        if synchronous:
+            await self._inspect_unanswered(stopped_at)
+        evidence = Evidence(
+            self._reports(stopped_at), synchronous, self._holders()
+        )
+        step = next_step(self._takeover, evidence, self._refused)
+        if isinstance(step, Wait):
+            self._log_missing_holders(evidence)
+        return step
+
+    async def _inspect_unanswered(self, stopped_at: float) -> None:
+        """Requests the statuses of replicas that have not answered yet.
+
+        Args:
+            stopped_at: boot time since which the old primary is not used.
+        """
+        answered = {
+            report.endpoint
+            for report in self._reports(stopped_at)
+            if report.recent
+        }
+        await self._endpoint_monitor.inspect_all(
+            [
+                endpoint
+                for endpoint in self._group.endpoints.values()
+                if endpoint.id not in answered
+                and endpoint.id != self._takeover.old
+            ]
+        )
+
+    def _holders(self) -> frozenset[EndpointId]:
+        """Returns the replicas that may hold an acknowledged commit.
+
+        One that has left is not waited for any longer if its replacement has
+        not come within ``REPLACEMENT_TIMEOUT``.
+        """
+        listed = frozenset(self._group.endpoints)
+        awaited = self._departure_tracker.awaited
+        if not awaited:
+            return listed
+        if self._group.seconds_without_leader < REPLACEMENT_TIMEOUT:
+            return listed | awaited
+        log.error(
+            'replacement_not_awaited',
+            extra={
+                'group': self._group.name,
+                'left': ','.join(sorted(awaited)),
+            },
+        )
+        return listed
+
+    def _log_missing_holders(self, evidence: Evidence) -> None:
+        """Logs once which replicas the takeover waits for."""
+        missing = evidence.holders - {
+            report.endpoint for report in evidence.reports if report.recent
+        }
+        missing -= {self._takeover.old}
+        if not evidence.synchronous or missing == self._missing:
+            return
+        self._missing = missing
+        log.warning(
+            'takeover_waits_for_replicas',
+            extra={
+                'group': self._group.name,
+                'missing': ','.join(sorted(missing)),
+                'left': ','.join(sorted(self._departure_tracker.awaited)),
+            },
+        )
 
     async def _take_step(self, step: Step) -> bool:
         """Takes a step.
@@ -202,45 +278,6 @@
             self._refused.add(candidate)
         return self._uncertain in self._refused
 
-    async def _knows_every_commit(self, stopped_at: float) -> bool:
-        """Returns whether the statuses show each acknowledged commit.
-
-        With synchronous replicas each commit is held by at least so many of
-        them. A replica that is busy or silent may be the only one, so all but
-        one fewer than that number must have answered since the stop. One whose
-        entry is gone does not count any more.
-
-        Args:
-            stopped_at: boot time since which the old primary is not used.
-        """
-        synchronous = self._context.synchronous_replicas(self._group.name)
-        if not synchronous:
-            return True
-        replicas = [
-            endpoint
-            for endpoint in self._group.endpoints.values()
-            if endpoint.id != self._takeover.old
-        ]
-        unanswered = [
-            endpoint
-            for endpoint in replicas
-            if self._received_since(endpoint.id, stopped_at) is None
-        ]
-        await asyncio.gather(*map(self._endpoint_monitor.inspect, unanswered))
-        known = [
-            endpoint
-            for endpoint in replicas
-            if self._received_since(endpoint.id, stopped_at) is not None
-        ]
-        return len(known) > len(replicas) - synchronous
-
-    def _received_since(
-        self, name: EndpointId, stopped_at: float
-    ) -> Mark | None:
-        observed = self._group.observed_status(name)
-        recent = observed is not None and observed.begun >= stopped_at
-        return self._received_mark(name) if recent else None
-
     def _received_mark(self, name: EndpointId) -> Mark | None:
         observed = self._group.observed_status(name)
         if observed is None or observed.status.role is EndpointRole.PRIMARY:
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/records.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/records.py
@@ -29,6 +29,10 @@
 #: Keys of nodes' suspicions of a primary: group, then node.
 SUSPECTS_PREFIX: Final = 'cowslipfork/suspects/'
 
+#: Keys of the replicas of each group that leave, or have left, and may hold
+#: commits that no other replica has.
+DEPARTURES_PREFIX: Final = 'cowslipfork/departures/'
+
 
 @unique
 class TakeoverPhase(Enum):
@@ -169,7 +173,37 @@
         return named_alike and alike
 
 
-def encode(record: Duty | Takeover | Stopped | Suspicion) -> bytes:
+@dataclass(frozen=True, slots=True)
+class Departure:
+    """A replica that has announced that it leaves.
+
+    Attributes:
+        endpoint: its id.
+        host: IP address, at which its replacement starts with its log.
+        port: TCP port there.
+    """
+
+    endpoint: EndpointId
+    host: str
+    port: int
+
+
+@dataclass(frozen=True, slots=True)
+class Departures:
+    """Replicas of a group that leave, or have left.
+
+    Attributes:
+        group: the group.
+        replicas: the replicas that may hold commits that no other one has.
+    """
+
+    group: GroupName
+    replicas: tuple[Departure, ...]
+
+
+def encode(
+    record: Duty | Takeover | Stopped | Suspicion | Departures,
+) -> bytes:
     """Encodes a record as JSON."""
     return msgspec.json.encode(record)
 
@@ -187,3 +221,8 @@
 def suspect_key(group: GroupName, node: VmId) -> str:
     """Returns the key of a node's suspicion of a group's primary."""
     return f'{SUSPECTS_PREFIX}{group}/{node}'
+
+
+def departures_key(group: GroupName) -> str:
+    """Returns the key of a group's departures."""
+    return f'{DEPARTURES_PREFIX}{group}'
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/takeover_context.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/takeover_context.py
@@ -13,6 +13,7 @@
 from cowslipfork_direct.promotion import Promotions
 from cowslipfork_direct.store_era import EraTracker
 from cowslipfork_direct.takeover.claims import Claims
+from cowslipfork_direct.takeover.departure_cache import DepartureCache
 from cowslipfork_direct.takeover.takeover_cache import TakeoverCache
 
 
@@ -23,6 +24,7 @@
     Attributes:
         node: this node.
         takeover_cache: cache of the takeover records.
+        departure_cache: cache of the records of replicas that leave.
         fleet: all registered nodes.
         eras: newest era of the store.
         settlement: whether the store's records can be relied on.
@@ -42,6 +44,7 @@
 
     node: VmId
     takeover_cache: TakeoverCache
+    departure_cache: DepartureCache
     fleet: Fleet
     eras: EraTracker
     settlement: EraSettlement
--- a/packages/cowslipfork-direct/tests/fakes/direct_fakes/servers.py
+++ b/packages/cowslipfork-direct/tests/fakes/direct_fakes/servers.py
@@ -91,6 +91,8 @@
     full: bool = False
     leaving: bool = False
     born: int = 1
+    #: Port of its address; None for one that follows from its name.
+    port: int | None = None
     #: Ids and texts of the data statements that ran.
     statements: list[tuple[str, str]] = field(default_factory=list)
     #: Session values of each data statement that ran.
@@ -105,7 +107,7 @@
             self.name,
             self.group,
             '10.0.0.1',
-            1000 + int(self.name[1:]),
+            self.port or 1000 + int(self.name[1:]),
             self.domain,
             3,
             self.leaving,
--- a/packages/cowslipfork-direct/tests/takeover/test_claims.py
+++ b/packages/cowslipfork-direct/tests/takeover/test_claims.py
@@ -221,7 +221,7 @@
             group = cluster.nodes['n1']._view.groups[GROUP]
             suspicion_reporter = SimpleNamespace(suspicion=suspicion)
             return PrimarySupervisor(
-                context, group, None, suspicion_reporter
+                context, group, None, suspicion_reporter, None
             ).needed_takeover()
 
     assert run(main()) is kind
--- a/packages/cowslipfork-direct/tests/takeover/test_decision.py
+++ b/packages/cowslipfork-direct/tests/takeover/test_decision.py
@@ -8,6 +8,7 @@
     Abandon,
     Demote,
     EndpointReport,
+    Evidence,
     Promote,
     Wait,
     may_abandon_unseen,
@@ -102,13 +103,14 @@
     claimed, reports, step
 ):
     """Guards against decisions by what answers at this moment only."""
-    assert next_step(claimed, reports) == step
+    assert next_step(claimed, Evidence(reports)) == step
 
 
 def test_a_refused_candidate_is_left_out():
     reports = [replica('e2', 5), replica('e3', 6)]
-    assert next_step(takeover(), reports, {'e3'}) == Promote('e2')
-    assert next_step(takeover(), reports, {'e2', 'e3'}) == Wait()
+    evidence = Evidence(reports)
+    assert next_step(takeover(), evidence, {'e3'}) == Promote('e2')
+    assert next_step(takeover(), evidence, {'e2', 'e3'}) == Wait()
 
 
 @pytest.mark.parametrize(
@@ -124,3 +126,67 @@
 ):
     """Guards against an old primary that returns after a fencing timeout."""
     assert may_abandon_unseen(claimed) is allowed
+
+
+@pytest.mark.parametrize(
+    ('claimed', 'reports', 'holders', 'step'),
+    [
+        # One of the replicas must be the synchronous one: all have to answer.
+        (takeover(), [replica('e2', 5)], 'e2', Promote('e2')),
+        (takeover(), [replica('e2', 5)], 'e2 e3', Wait()),
+        (takeover(), [replica('e2', 5)], 'e2 left', Wait()),
+        (
+            takeover(),
+            [replica('e2', 5), replica('e3', 4)],
+            'e2 e3',
+            Promote('e2'),
+        ),
+        # The old primary's own log needs no answer.
+        (takeover(), [replica('e2', 5)], 'e1 e2', Promote('e2')),
+        # A primary that is back ends the wait, if none can have followed it.
+        (
+            takeover(),
+            [primary('e1', 1), replica('e2', 5)],
+            'e2 e3',
+            Abandon('e1'),
+        ),
+        (
+            takeover(ceiling=2),
+            [primary('e1', 1), replica('e2', 5)],
+            'e2 e3',
+            Demote('e1'),
+        ),
+        # In a handover the old primary shows which replica has everything.
+        (
+            takeover(handover=True),
+            [primary('e1', 1), replica('e2', 9)],
+            'e2 left',
+            Promote('e2'),
+        ),
+        (
+            takeover(handover=True),
+            [primary('e1', 1), replica('e2', 8)],
+            'e2 left',
+            Abandon('e1'),
+        ),
+        (
+            takeover(handover=True, ceiling=2),
+            [primary('e1', 1), replica('e2', 9)],
+            'e2 left',
+            Demote('e1'),
+        ),
+    ],
+)
+def test_a_promoted_replica_has_every_acknowledged_commit(
+    claimed, reports, holders, step
+):
+    """Guards against commits that only a replica that is missing holds."""
+    evidence = Evidence(reports, 1, frozenset(holders.split()))
+    assert next_step(claimed, evidence) == step
+
+
+def test_a_refused_replica_with_more_commits_is_waited_for():
+    """Guards against commits that only a replica holds which is refused."""
+    reports = [replica('e2', 6), replica('e3', 5)]
+    evidence = Evidence(reports, 1, frozenset(('e2', 'e3')))
+    assert next_step(takeover(), evidence, {'e2'}) == Wait()
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/direct_table.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/direct_table.py
@@ -424,4 +424,32 @@
         'self._ceiling = Term(0)',
         f'{_TAKEOVER}/test_unseen_promotions.py',
     ),
+    Mutant(
+        'direct: a replica that has left may hold acknowledged commits',
+        _DIRECT / 'takeover/promoter.py',
+        'return listed | awaited',
+        'return listed',
+        f'{_TAKEOVER}/test_departed_replicas.py',
+    ),
+    Mutant(
+        'direct: departures are written to the store',
+        _DIRECT / 'takeover/departure_tracker.py',
+        'if self._may_write() and self._outdated_record():',
+        'if self._may_write() and not self._group:',
+        f'{_TAKEOVER}/test_departed_replicas.py',
+    ),
+    Mutant(
+        'direct: a departure is forgotten once others have its commits',
+        _DIRECT / 'takeover/departure_tracker.py',
+        'absence.covered |= self._received_by_others(absence)',
+        'absence.covered |= False',
+        f'{_TAKEOVER}/test_departed_replicas.py',
+    ),
+    Mutant(
+        'direct: the candidate has the greatest mark of those that answered',
+        _DIRECT / 'takeover/decision.py',
+        'candidate.status.received >= greatest and knows_every_commit(',
+        'greatest and knows_every_commit(',
+        f'{_TAKEOVER}/test_decision.py',
+    ),
 )
