--- a/packages/cowslipfork-direct/src/cowslipfork_direct/connected_callers.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/connected_callers.py
@@ -1,8 +1,9 @@
 """Callers' connections, whatever their protocol, and the end of their keys.
 
 When a routing table withdraws keys, connections of these keys that are idle
-are closed, and transactions of theirs that are idle are rolled back. Statements
-that run are finished first.
+are closed, and transactions of theirs that are idle are rolled back, also those
+of keys that belong to another workspace now. Statements that run are finished
+first.
 """
 
 from __future__ import annotations
@@ -16,7 +17,7 @@
 from typing import Final
 
 from cowslipfork_direct.answers import SessionState
-from cowslipfork_direct.session import KEY_WITHDRAWN, Session
+from cowslipfork_direct.session import Session
 
 log = logging.getLogger(__name__)
 
@@ -31,7 +32,8 @@
 
     CLOSED = 'closed'
     ROLLED_BACK = 'rolled_back'
-    #: Its transaction had failed before; the next statement is refused.
+    #: Its transaction had failed before, so that the next statement is
+    #: refused; or its key is sufficient again.
     LEFT_OPEN = 'left_open'
 
 
@@ -63,9 +65,9 @@
         return self._state is SessionState.IN_TRANSACTION
 
     @property
-    def withdrawn(self) -> bool:
-        """Whether the caller's key is not known any more."""
-        return self._session is not None and self._session.withdrawn
+    def key_loss(self) -> str | None:
+        """Why the key allows no more what is open; None if it does."""
+        return None if self._session is None else self._session.key_loss
 
     @property
     def _state(self) -> SessionState:
@@ -82,9 +84,12 @@
         self._close()
 
     async def end_idle(self) -> Withdrawal:
-        """Ends what an idle connection does for a key that was withdrawn."""
+        """Ends what an idle connection does without a right to it."""
+        key_loss = self.key_loss
+        if key_loss is None:
+            return Withdrawal.LEFT_OPEN
         if self.in_transaction:
-            await self.abort_transaction(KEY_WITHDRAWN)
+            await self.abort_transaction(key_loss)
             return Withdrawal.ROLLED_BACK
         if self._state is SessionState.FAILED_TRANSACTION:
             return Withdrawal.LEFT_OPEN
@@ -163,7 +168,7 @@
     async def _end_withdrawn(self) -> None:
         unchecked = tuple(self._connected)
         while unchecked and not self._keys_changed.is_set():
-            withdrawn = [caller for caller in unchecked if caller.withdrawn]
+            withdrawn = [caller for caller in unchecked if caller.key_loss]
             busy = [caller for caller in withdrawn if not caller.idle]
             await _end_idle([caller for caller in withdrawn if caller.idle])
             unchecked = tuple(self._connected.intersection(busy))
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/session.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/session.py
@@ -61,6 +61,9 @@
 #: Detail of the refusal after a transaction whose key was withdrawn.
 KEY_WITHDRAWN: Final = 'the key of the transaction was withdrawn'
 
+#: Detail of the refusal after a transaction whose key another workspace has.
+KEY_MOVED: Final = 'the key of the transaction belongs to another workspace'
+
 #: Least seconds until the node stops answering with which a statement is
 #: accepted.
 MIN_TIME_LEFT: Final = 0.3
@@ -128,6 +131,8 @@
         self._mark: Mark | None = None
         self._transaction: ExecutedTransaction | None = None
         self._transaction_failed = False
+        #: Workspace that began the transaction, and in whose name it runs.
+        self._transaction_workspace: WorkspaceName | None = None
         self._admitted = False
         #: Boot time of an admission of which nothing has run yet.
         self._unused_since: float | None = None
@@ -145,13 +150,18 @@
         return self._context.idle_limit()
 
     @property
-    def withdrawn(self) -> bool:
-        """Whether the caller's key is not known any more."""
+    def key_loss(self) -> str | None:
+        """Why the caller's key allows no more what is open; None if it does.
+
+        A key that is not known any more allows nothing. One that belongs to
+        another workspace now allows new statements, but not a transaction
+        that runs in the name of the former one.
+        """
         workspace = self._identify()
-        return (
-            isinstance(workspace, NotRun)
-            and workspace.reason is Reason.UNKNOWN_KEY
-        )
+        if isinstance(workspace, NotRun):
+            unknown = workspace.reason is Reason.UNKNOWN_KEY
+            return KEY_WITHDRAWN if unknown else None
+        return KEY_MOVED if self._has_moved_to(workspace) else None
 
     @property
     def state(self) -> SessionState:
@@ -172,6 +182,8 @@
             Its outcome.
         """
         workspace = self._identify()
+        if not isinstance(workspace, NotRun) and self._has_moved_to(workspace):
+            await self.abort(KEY_MOVED)
         if isinstance(workspace, NotRun):
             outcome = await self._refuse_key(workspace)
         elif self.state is SessionState.FAILED_TRANSACTION:
@@ -205,6 +217,15 @@
             return None
         return self._context.identify(resolved[0], self._digest)
 
+    def _has_moved_to(self, workspace: WorkspaceName | None) -> bool:
+        """Returns whether an open transaction is that of another workspace.
+
+        Args:
+            workspace: workspace that the caller's key belongs to now.
+        """
+        in_transaction = self.state is SessionState.IN_TRANSACTION
+        return in_transaction and workspace != self._transaction_workspace
+
     async def _refuse_key(self, refusal: NotRun) -> DirectOutcome:
         """Refuses a statement, the first one after a rollback as aborted.
 
@@ -251,6 +272,7 @@
         return ACCEPTED
 
     def _begin(self, statement: Statement) -> DirectOutcome:
+        """Opens a transaction in the name of the caller's workspace."""
         if self._transaction is not None:
             return _bad_request('a transaction is already open')
         resolved = self._context.resolve(self._database)
@@ -258,7 +280,11 @@
             return self._no_route()
         _, executor = resolved
         read_only = statement.verb is Verb.BEGIN_READ_ONLY
+        workspace = self._context.identify(resolved[0], self._digest)
+        if isinstance(workspace, NotRun):
+            return workspace
         self._resolved = resolved
+        self._transaction_workspace = workspace
         self._transaction = executor.begin(read_only=read_only)
         self._transaction_failed = False
         self._admitted = False
@@ -337,16 +363,39 @@
             The caller's workspace, or why the statement may not run.
         """
         workspace = self._identify()
-        if self._admitted or isinstance(workspace, NotRun):
-            return workspace
-        if workspace is not None:
-            refusal = await self._context.admission.admit(workspace)
+        while not self._admitted and not isinstance(workspace, NotRun):
+            refusal = await self._admit_once(workspace)
             if refusal is not None:
                 return refusal
-            self._unused_since = boot_time()
-        self._admitted = True
-        # The key may have been withdrawn during the wait.
-        return self._identify()
+            workspace = self._identify()
+        if isinstance(workspace, NotRun) or not self._has_moved_to(workspace):
+            return workspace
+        return NotRun(Reason.TRANSACTION_LOST, detail=KEY_MOVED)
+
+    async def _admit_once(
+        self, workspace: WorkspaceName | None
+    ) -> NotRun | None:
+        """Applies the rate limit of the workspace that the caller is of now.
+
+        Its key may be withdrawn during the wait, or move to another workspace,
+        whose rate limit applies then.
+
+        Returns:
+            The refusal if the rate limit does not allow the operation.
+        """
+        if workspace is None:
+            self._admitted = True
+            return None
+        refusal = await self._context.admission.admit(workspace)
+        if refusal is not None:
+            return refusal
+        admitted_at = boot_time()
+        if self._identify() == workspace:
+            self._unused_since = admitted_at
+            self._admitted = True
+        else:
+            self._context.admission.give_back(workspace, admitted_at)
+        return None
 
     def _settle_admission(
         self, workspace: WorkspaceName | None, executed: Executed
--- a/packages/cowslipfork-direct/tests/test_withdrawn_keys.py
+++ b/packages/cowslipfork-direct/tests/test_withdrawn_keys.py
@@ -232,22 +232,28 @@
             configure_keys(made, TWO_KEYS)
             await asyncio.sleep(0.2)
             node = made.nodes['n1']
+            given_back = []
 
             async def wait(_):
                 await asyncio.sleep(0.5)
 
+            def give_back(workspace, _):
+                given_back.append(workspace)
+
             node._session_context = replace(
-                node._session_context, admission=SimpleNamespace(admit=wait)
+                node._session_context,
+                admission=SimpleNamespace(admit=wait, give_back=give_back),
             )
             session = await made.session(key='second-key')
             task = asyncio.create_task(session.run(statement('WRITE a 1')))
             await asyncio.sleep(0.1)
             configure_keys(made, ONE_KEY)
-            return made, await task
+            return made, await task, given_back
 
-    made, outcome = run(main())
+    made, outcome, given_back = run(main())
     assert outcome.reason is Reason.UNKNOWN_KEY
     assert made.servers['e1'].statements == []
+    assert given_back == ['w']
 
 
 def test_a_key_that_returns_is_accepted_again():
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/direct_table.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/direct_table.py
@@ -452,4 +452,18 @@
         'greatest and knows_every_commit(',
         f'{_TAKEOVER}/test_decision.py',
     ),
+    Mutant(
+        'direct: a transaction ends when its key moves to another workspace',
+        _DIRECT / 'session.py',
+        'return in_transaction and workspace != self._transaction_workspace',
+        'return in_transaction and workspace == self._database',
+        f'{_TESTS}/test_moved_keys.py',
+    ),
+    Mutant(
+        'direct: an operation is admitted for the workspace that it runs for',
+        _DIRECT / 'session.py',
+        'if self._identify() == workspace:',
+        'if workspace:',
+        f'{_TESTS}/test_moved_keys.py {_TESTS}/test_withdrawn_keys.py',
+    ),
 )
