--- a/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/decision.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/decision.py
@@ -53,11 +53,14 @@
             primary acknowledges it.
         holders: replicas that may hold an acknowledged commit, whether they
             answer, are listed, or have left.
+        accepts_outdated: whether a replica may be promoted that has not
+            followed the last primary.
     """
 
     reports: Collection[EndpointReport]
     synchronous: int = 0
     holders: frozenset[EndpointId] = frozenset()
+    accepts_outdated: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -118,7 +121,7 @@
         evidence: what is known of the endpoints.
         refused: endpoints that the platform can't promote now.
     """
-    candidate = choose_candidate(takeover, evidence.reports, refused)
+    candidate = choose_candidate(takeover, evidence, refused)
     if candidate is not None and _has_every_commit(
         takeover, evidence, candidate
     ):
@@ -128,14 +131,14 @@
         return Wait()
     if _leads_last_term(takeover, newest):
         return Abandon(newest.endpoint)
-    if newest.status.term >= takeover.last_led_term:
-        return Demote(newest.endpoint)
-    return Wait()
+    if is_outdated(takeover, newest) and not evidence.accepts_outdated:
+        return Wait()
+    return Demote(newest.endpoint)
 
 
 def choose_candidate(
     takeover: Takeover,
-    reports: Collection[EndpointReport],
+    evidence: Evidence,
     refused: Collection[EndpointId] = (),
 ) -> EndpointReport | None:
     """Returns the replica that has received most of the log, if any.
@@ -143,15 +146,20 @@
     Of several, one that is not about to leave is preferred. A primary that
     was demoted in a handover leads again if there is no other one.
 
+    A replica of a term before the last one that had a primary lacks what that
+    one has acknowledged, and may have commits that were rolled back.
+
     Args:
         takeover: the claimed takeover.
-        reports: what the reachable endpoints reported.
+        evidence: what is known of the endpoints.
         refused: endpoints that the platform can't promote now.
     """
     replicas = [
         report
-        for report in reports
-        if not report.is_primary and report.endpoint not in refused
+        for report in evidence.reports
+        if not report.is_primary
+        and report.endpoint not in refused
+        and (evidence.accepts_outdated or not is_outdated(takeover, report))
     ]
     handover = takeover.kind is TakeoverKind.HANDOVER
     return max(
@@ -165,6 +173,16 @@
     )
 
 
+def is_outdated(takeover: Takeover, report: EndpointReport) -> bool:
+    """Returns whether an endpoint has not followed the last primary.
+
+    Args:
+        takeover: the claimed takeover.
+        report: what the endpoint reported.
+    """
+    return report.status.term < takeover.last_led_term
+
+
 def knows_every_commit(takeover: Takeover, evidence: Evidence) -> bool:
     """Returns whether the replicas that answered have each acknowledged commit.
 
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/promoter.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/promoter.py
@@ -20,8 +20,6 @@
 from cowslipfork_direct.takeover.decision import (
     Abandon,
     Demote,
-    EndpointReport,
-    Evidence,
     Promote,
     Step,
     Wait,
@@ -29,6 +27,7 @@
     next_step,
 )
 from cowslipfork_direct.takeover.departure_tracker import DepartureTracker
+from cowslipfork_direct.takeover.evidence import EvidenceCollector
 from cowslipfork_direct.takeover.fencing import Fencing
 from cowslipfork_direct.takeover.records import (
     Takeover,
@@ -59,10 +58,6 @@
 #: the order.
 PROMOTION_TIMEOUT: Final = 4.0
 
-#: Seconds without a primary during which the replacement of a replica that has
-#: left is waited for, if it may have commits that no other replica has.
-REPLACEMENT_TIMEOUT: Final = 30.0
-
 
 class Promoter:
     """Carries out one takeover that this node has claimed."""
@@ -87,7 +82,9 @@
         self._context = context
         self._group = group
         self._endpoint_monitor = endpoint_monitor
-        self._departure_tracker = departure_tracker
+        self._evidence_collector = EvidenceCollector(
+            context, group, endpoint_monitor, departure_tracker
+        )
         self._claim = claim
         self._deadline = boot_time() + TAKEOVER_TIMEOUT
         self._fencing = Fencing(
@@ -97,8 +94,6 @@
         self._refused: set[EndpointId] = set()
         #: Endpoint of an order without an answer.
         self._uncertain: EndpointId | None = None
-        #: Replicas that were logged as missing.
-        self._missing: frozenset[EndpointId] = frozenset()
 
     @property
     def _takeover(self) -> Takeover:
@@ -143,76 +138,14 @@
             return Promote(self._uncertain)
         if self._takeover.kind is TakeoverKind.HANDOVER:
             await self._await_catch_up()
-        synchronous = self._context.synchronous_replicas(self._group.name)
-        if synchronous:
-            await self._inspect_unanswered(stopped_at)
-        evidence = Evidence(
-            self._reports(stopped_at), synchronous, self._holders()
+        evidence = await self._evidence_collector.collect(
+            self._takeover, stopped_at
         )
         step = next_step(self._takeover, evidence, self._refused)
         if isinstance(step, Wait):
-            self._log_missing_holders(evidence)
+            self._evidence_collector.log_wait(self._takeover, evidence)
         return step
 
-    async def _inspect_unanswered(self, stopped_at: float) -> None:
-        """Requests the statuses of replicas that have not answered yet.
-
-        Args:
-            stopped_at: boot time since which the old primary is not used.
-        """
-        answered = {
-            report.endpoint
-            for report in self._reports(stopped_at)
-            if report.recent
-        }
-        await self._endpoint_monitor.inspect_all(
-            [
-                endpoint
-                for endpoint in self._group.endpoints.values()
-                if endpoint.id not in answered
-                and endpoint.id != self._takeover.old
-            ]
-        )
-
-    def _holders(self) -> frozenset[EndpointId]:
-        """Returns the replicas that may hold an acknowledged commit.
-
-        One that has left is not waited for any longer if its replacement has
-        not come within ``REPLACEMENT_TIMEOUT``.
-        """
-        listed = frozenset(self._group.endpoints)
-        awaited = self._departure_tracker.awaited
-        if not awaited:
-            return listed
-        if self._group.seconds_without_leader < REPLACEMENT_TIMEOUT:
-            return listed | awaited
-        log.error(
-            'replacement_not_awaited',
-            extra={
-                'group': self._group.name,
-                'left': ','.join(sorted(awaited)),
-            },
-        )
-        return listed
-
-    def _log_missing_holders(self, evidence: Evidence) -> None:
-        """Logs once which replicas the takeover waits for."""
-        missing = evidence.holders - {
-            report.endpoint for report in evidence.reports if report.recent
-        }
-        missing -= {self._takeover.old}
-        if not evidence.synchronous or missing == self._missing:
-            return
-        self._missing = missing
-        log.warning(
-            'takeover_waits_for_replicas',
-            extra={
-                'group': self._group.name,
-                'missing': ','.join(sorted(missing)),
-                'left': ','.join(sorted(self._departure_tracker.awaited)),
-            },
-        )
-
     async def _take_step(self, step: Step) -> bool:
         """Takes a step.
 
@@ -241,27 +174,6 @@
         )
         await self._fencing.demote(name)
 
-    def _reports(self, stopped_at: float) -> list[EndpointReport]:
-        """Returns what the reachable endpoints reported.
-
-        Args:
-            stopped_at: boot time since which the old primary is not used.
-        """
-        observed = [
-            (endpoint, self._group.observed_status(endpoint.id))
-            for endpoint in self._group.reachable_endpoints
-        ]
-        return [
-            EndpointReport(
-                endpoint.id,
-                one.status,
-                recent=one.begun >= stopped_at,
-                leaving=endpoint.listed.leaving,
-            )
-            for endpoint, one in observed
-            if one is not None
-        ]
-
     async def _promote_candidate(self, candidate: EndpointId) -> bool:
         """Orders the promotion of a candidate once.
 
--- a/packages/cowslipfork-direct/tests/takeover/test_decision.py
+++ b/packages/cowslipfork-direct/tests/takeover/test_decision.py
@@ -190,3 +190,21 @@
     reports = [replica('e2', 6), replica('e3', 5)]
     evidence = Evidence(reports, 1, frozenset(('e2', 'e3')))
     assert next_step(takeover(), evidence, {'e2'}) == Wait()
+
+
+@pytest.mark.parametrize(
+    ('reports', 'accepts_outdated', 'step'),
+    [
+        ([replica('e1', 9)], False, Wait()),
+        ([replica('e1', 9)], True, Promote('e1')),
+        ([primary('e1', 1)], False, Wait()),
+        ([primary('e1', 1)], True, Demote('e1')),
+        ([primary('e3', 2), replica('e1', 9)], False, Abandon('e3')),
+    ],
+)
+def test_an_outdated_endpoint_is_promoted_only_after_a_while(
+    reports, accepts_outdated, step
+):
+    """Guards against a log that lacks all that a later primary has done."""
+    evidence = Evidence(reports, accepts_outdated=accepts_outdated)
+    assert next_step(takeover(led=2, ceiling=2), evidence) == step
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/direct_table.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/direct_table.py
@@ -426,7 +426,7 @@
     ),
     Mutant(
         'direct: a replica that has left may hold acknowledged commits',
-        _DIRECT / 'takeover/promoter.py',
+        _DIRECT / 'takeover/evidence.py',
         'return listed | awaited',
         'return listed',
         f'{_TAKEOVER}/test_departed_replicas.py',
@@ -466,4 +466,11 @@
         'if workspace:',
         f'{_TESTS}/test_moved_keys.py {_TESTS}/test_withdrawn_keys.py',
     ),
+    Mutant(
+        'direct: a replica that has not followed the last primary waits',
+        _DIRECT / 'takeover/decision.py',
+        'return report.status.term < takeover.last_led_term',
+        'return report.status.term < 0',
+        f'{_TAKEOVER}/test_outdated_replicas.py',
+    ),
 )
