--- a/packages/cowslipfork-direct/src/cowslipfork_direct/group.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/group.py
@@ -65,6 +65,7 @@
         report_gap: Callable[[GroupName, float], None],
         now: Callable[[], float] = boot_time,
         listing_known_at: Callable[[], float] = boot_time,
+        drain_time: float = math.inf,
     ) -> None:
         """Starts without endpoints.
 
@@ -77,6 +78,8 @@
             now: clock in seconds that runs while the machine is suspended.
             listing_known_at: returns the time on that clock up to which the
                 endpoints' entries are known.
+            drain_time: seconds for which an endpoint that announced that it
+                leaves accepts new work.
         """
         self.name = name
         self.queue = SlotQueue({}, SPARE_LINKS, may_use_another=may_use_another)
@@ -88,7 +91,7 @@
         self._report_gap = report_gap
         self._now = now
         self._group_endpoints = GroupEndpoints(
-            self._connect, now, listing_known_at
+            self._connect, now, listing_known_at, drain_time
         )
         self._observed_statuses = ObservedStatuses()
         self._leader: Leader | None = None
@@ -118,8 +121,10 @@
 
     @property
     def accepting_leader(self) -> Leader | None:
-        """Primary for new work; None during a handover."""
-        return None if self._paused else self._leader
+        """Primary for new work; None during a handover, or once drained."""
+        if self._paused or self._drained_for >= 0:
+            return None
+        return self._leader
 
     @property
     def seconds_without_leader(self) -> float:
@@ -309,6 +314,9 @@
         Without a primary and without a promotion under way callers get an
         error soon, since other nodes may reach the primary.
         """
+        loop_time = asyncio.get_running_loop().time()
+        if self._drained_for >= 0:
+            return loop_time + MAX_LEADERLESS_WAIT - self._drained_for
         last = self._last_leader
         expected = last is not None and self._allowed_primaries.rejects(
             last.term
@@ -317,6 +325,15 @@
             return math.inf
         return self._leaderless_since + MAX_LEADERLESS_WAIT
 
+    @property
+    def _drained_for(self) -> float:
+        """Seconds since the primary accepts no more work; negative before."""
+        leader = self._leader
+        if leader is None:
+            return -math.inf
+        drained_at = self._group_endpoints.drained_at(leader.endpoint)
+        return self._now() - drained_at
+
     def pause(self) -> None:
         """Sends the primary no new work, for example before a handover."""
         self._paused = True
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/group_endpoints.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/group_endpoints.py
@@ -16,6 +16,10 @@
 #: that it last read confirm a primary; after that it needs all of them.
 LISTING_VALIDITY: Final = 15.0
 
+#: Seconds before the end of its draining from which an endpoint gets no more
+#: new work: longer than a statement takes to get there.
+DRAIN_MARGIN: Final = 0.3
+
 #: Seconds after an endpoint was dropped within which another node may count it:
 #: ``LISTING_VALIDITY``, and the time that an answer of the store may take.
 DEPARTED_HORIZON: Final = 17.0
@@ -51,6 +55,7 @@
         connect: Callable[[ListedEndpoint], Endpoint],
         now: Callable[[], float],
         known_at: Callable[[], float],
+        drain_time: float = math.inf,
     ) -> None:
         """Starts without endpoints.
 
@@ -59,6 +64,8 @@
             now: clock in seconds that runs while the machine is suspended.
             known_at: returns the time on that clock up to which the entries
                 are known.
+            drain_time: seconds for which an endpoint that announced that it
+                leaves accepts new work.
         """
         self._connect = connect
         self._now = now
@@ -66,6 +73,8 @@
         self._first_listed_at = math.inf
         self._by_id: dict[EndpointId, Endpoint] = {}
         self._forget_at: dict[EndpointId, float] = {}
+        self._drain_time = drain_time
+        self._leaving_since: dict[EndpointId, float] = {}
 
     @property
     def by_id(self) -> Mapping[EndpointId, Endpoint]:
@@ -122,6 +131,15 @@
         """
         return self._now() >= self._first_listed_at + LAPSE_GRACE
 
+    def drained_at(self, name: EndpointId) -> float:
+        """Returns the time from which an endpoint gets no more new work.
+
+        Args:
+            name: the endpoint; one that does not leave accepts work for good.
+        """
+        leaving_since = self._leaving_since.get(name, math.inf)
+        return leaving_since + self._drain_time - DRAIN_MARGIN
+
     def update(self, listed: Iterable[ListedEndpoint]) -> ListingChanges:
         """Applies the endpoints' entries in the store.
 
@@ -147,6 +165,11 @@
         ]
         for known in before:
             self._by_id[known].listed = entries[known]
+        self._leaving_since = {
+            name: self._leaving_since.get(name, self._now())
+            for name, endpoint in self._by_id.items()
+            if endpoint.listed.leaving
+        }
         in_other_role = [
             name
             for name, entry in before.items()
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/node.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/node.py
@@ -119,6 +119,7 @@
             self._metrics,
             self._on_added,
             lambda: self._store_watcher.last_answer_at,
+            adapters.drain_time,
         )
         self._fleet = Fleet(self._on_nodes_changed)
         self._placement = Placement(
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/node_parameters.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/node_parameters.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -27,6 +28,8 @@
         promotions: sends promotion orders.
         eras: newest era of the store, which its clients report.
         dial: opens connections to other nodes.
+        drain_time: seconds for which an endpoint that announced that it leaves
+            accepts new work.
     """
 
     store: Callable[[Address | None], LeasingStore]
@@ -35,6 +38,7 @@
     promotions: Promotions
     eras: EraTracker
     dial: Dial = dial
+    drain_time: float = math.inf
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/view.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/view.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import itertools
+import math
 from collections.abc import Callable, Mapping, Sequence
 from operator import attrgetter
 
@@ -30,6 +31,7 @@
         metrics: Metrics,
         on_added: Callable[[Group | Endpoint], None],
         listing_known_at: Callable[[], float] = boot_time,
+        drain_time: float = math.inf,
     ) -> None:
         """Starts without groups, with an empty table of revision 0.
 
@@ -41,6 +43,8 @@
                 background tasks can be started.
             listing_known_at: returns the boot time up to which the endpoints'
                 entries are known.
+            drain_time: seconds for which an endpoint that announced that it
+                leaves accepts new work.
         """
         self._table = RoutingTable(Revision(0))
         self._groups: dict[GroupName, Group] = {}
@@ -49,6 +53,7 @@
         self._metrics = metrics
         self._on_added = on_added
         self._listing_known_at = listing_known_at
+        self._drain_time = drain_time
         self._configured = asyncio.Event()
         self._listeners: list[Callable[[RoutingTable], None]] = []
 
@@ -111,6 +116,7 @@
                 self._relays,
                 self._metrics.observe_leaderless,
                 listing_known_at=self._listing_known_at,
+                drain_time=self._drain_time,
             )
             self._groups[name] = known
             self._on_added(known)
--- a/packages/cowslipfork-direct/tests/fakes/direct_fakes/world.py
+++ b/packages/cowslipfork-direct/tests/fakes/direct_fakes/world.py
@@ -5,6 +5,7 @@
 import asyncio
 import itertools
 import json
+import math
 import time
 from contextlib import asynccontextmanager, suppress
 
@@ -192,6 +193,8 @@
         #: Results of the next orders; once used up, orders are carried out.
         self.order_results = []
         self.connections = connections
+        #: Seconds for which servers that leave accept new work.
+        self.drain_time = math.inf
         self.synchronous_replicas = synchronous_replicas
         #: How nodes that start from now on withdraw keys.
         self.revocation = Revocation()
@@ -289,6 +292,7 @@
                 self,
                 eras,
                 self.peer_network.dialer(name),
+                self.drain_time,
             ),
             NodeIdentity(VmId(name), FailureDomain(domain), Address(name, 1)),
             revocation=self.revocation,
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/direct_table.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/direct_table.py
@@ -473,4 +473,11 @@
         'return report.status.term < 0',
         f'{_TAKEOVER}/test_outdated_replicas.py',
     ),
+    Mutant(
+        'direct: a primary that has drained gets no new work',
+        _DIRECT / 'group.py',
+        'if self._paused or self._drained_for >= 0:',
+        'if self._paused:',
+        f'{_TESTS}/test_drained_primary.py',
+    ),
 )
--- a/packages/cowslipfork/src/cowslipfork/configuration/direct.py
+++ b/packages/cowslipfork/src/cowslipfork/configuration/direct.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from typing import Final
 
@@ -34,6 +35,8 @@
         store: host and port of the platform's store.
         promotions: host and port that take orders of promotion.
         grace: seconds between the signal to end and the kill.
+        drain: seconds for which an endpoint that announced that it leaves
+            accepts new work.
         log_lines: lines a second for events of requests; others are always
             written while the output takes them.
         cores: processor cores of the VM.
@@ -57,6 +60,7 @@
     store: HostPort
     promotions: HostPort
     grace: float = 10
+    drain: float = math.inf
     log_format: LogFormat = LogFormat.KEY_VALUE
     log_lines: int = 500
     cores: float = 1
@@ -101,6 +105,12 @@
             'duration, 1s to 10m',
             'From the signal to end to the kill; callers get most of it.',
         ),
+        Key(
+            'drain',
+            readers.duration('100ms', '1h'),
+            'duration, 100ms to 1h',
+            'An endpoint that leaves accepts new work for so long.',
+        ),
         Key(
             'log_format',
             readers.choice(LogFormat),
--- a/packages/cowslipfork/tests/configuration/test_direct.py
+++ b/packages/cowslipfork/tests/configuration/test_direct.py
@@ -1,3 +1,5 @@
+import math
+
 import pytest
 
 from cowslipfork.configuration import LogFormat, direct_settings
@@ -103,9 +105,18 @@
     assert settings.revoke_fail_closed is fail_closed
 
 
+@pytest.mark.parametrize(
+    ('lines', 'seconds'), [('', math.inf), ('drain = 7000ms\n', 7)]
+)
+def test_the_time_of_draining_is_set(lines, seconds):
+    assert direct_settings(TEXT + lines).ok.drain == seconds
+
+
 @pytest.mark.parametrize(
     'line',
     [
+        'drain = 7000',
+        'drain = 0s',
         'revoke_limit = 5',
         'revoke_limit = ms',
         'revoke_limit = 1h',
