--- a/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/decision.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/decision.py
@@ -12,7 +12,10 @@
 from dataclasses import dataclass
 
 from cowslipfork.ids import EndpointId
-from cowslipfork_direct.link import EndpointRole, EndpointStatus
+from cowslipfork_direct.takeover.endpoint_reports import (
+    EndpointReport,
+    Evidence,
+)
 from cowslipfork_direct.takeover.records import (
     Takeover,
     TakeoverKind,
@@ -20,49 +23,6 @@
 )
 
 
-@dataclass(frozen=True, slots=True)
-class EndpointReport:
-    """What an endpoint of the group last reported.
-
-    Attributes:
-        endpoint: its id.
-        status: its status.
-        recent: whether the status was requested since the old primary is not
-            used.
-        leaving: whether the endpoint is about to leave.
-    """
-
-    endpoint: EndpointId
-    status: EndpointStatus
-    recent: bool
-    leaving: bool
-
-    @property
-    def is_primary(self) -> bool:
-        """Whether the endpoint says that it is a primary."""
-        return self.status.role is EndpointRole.PRIMARY
-
-
-@dataclass(frozen=True, slots=True)
-class Evidence:
-    """What is known of a group's endpoints.
-
-    Attributes:
-        reports: what the reachable endpoints reported.
-        synchronous: number of replicas that must hold a commit before the
-            primary acknowledges it.
-        holders: replicas that may hold an acknowledged commit, whether they
-            answer, are listed, or have left.
-        accepts_outdated: whether a replica may be promoted that has not
-            followed the last primary.
-    """
-
-    reports: Collection[EndpointReport]
-    synchronous: int = 0
-    holders: frozenset[EndpointId] = frozenset()
-    accepts_outdated: bool = False
-
-
 @dataclass(frozen=True, slots=True)
 class Promote:
     """Order the promotion of a candidate.
@@ -115,18 +75,21 @@
     one can have a later term. If an order whose effect was never observed may
     have made another primary, its writes would be lost when that one returns.
     It may be promoted to a term above all others, though, once it is a replica.
+    The primary that such an order has made goes on as soon as it answers.
 
     Args:
         takeover: the claimed takeover.
         evidence: what is known of the endpoints.
         refused: endpoints that the platform can't promote now.
     """
+    newest = _newest_primary(evidence.reports)
+    if newest is not None and _was_made_unseen(takeover, newest):
+        return Abandon(newest.endpoint)
     candidate = choose_candidate(takeover, evidence, refused)
     if candidate is not None and _has_every_commit(
         takeover, evidence, candidate
     ):
         return Promote(candidate.endpoint)
-    newest = _newest_primary(evidence.reports)
     if newest is None:
         return Wait()
     if _leads_last_term(takeover, newest):
@@ -189,12 +152,15 @@
     Each was received by as many replicas as are synchronous. One that does not
     answer, or has left, may be one of them, so fewer than that number may be
     missing. It takes as many of the holders to answer, whatever is listed now.
+    The old primary is none of them, unless it may have followed another one.
 
     Args:
         takeover: the claimed takeover.
         evidence: what is known of the endpoints.
     """
-    holders = evidence.holders - {takeover.old}
+    holders = evidence.holders
+    if not has_unseen_order(takeover):
+        holders -= {takeover.old}
     answered = {
         report.endpoint
         for report in evidence.reports
@@ -204,6 +170,15 @@
     return len(missing) < evidence.synchronous
 
 
+def has_unseen_order(takeover: Takeover) -> bool:
+    """Returns whether an earlier order may have taken effect unseen.
+
+    Args:
+        takeover: the claimed takeover.
+    """
+    return takeover.ceiling > takeover.last_led_term
+
+
 def may_abandon_unseen(takeover: Takeover) -> bool:
     """Returns whether a takeover may be abandoned without a primary's answer.
 
@@ -213,8 +188,8 @@
     Args:
         takeover: the claimed takeover.
     """
-    unseen_order = takeover.ceiling > takeover.last_led_term
-    return takeover.phase is TakeoverPhase.CLAIMED and not unseen_order
+    claimed = takeover.phase is TakeoverPhase.CLAIMED
+    return claimed and not has_unseen_order(takeover)
 
 
 def _leads_last_term(takeover: Takeover, report: EndpointReport) -> bool:
@@ -225,6 +200,11 @@
     )
 
 
+def _was_made_unseen(takeover: Takeover, report: EndpointReport) -> bool:
+    """Returns whether a primary follows from an order that nobody saw work."""
+    return has_unseen_order(takeover) and _leads_last_term(takeover, report)
+
+
 def _newest_primary(
     reports: Collection[EndpointReport],
 ) -> EndpointReport | None:
@@ -250,7 +230,8 @@
     received = [
         report.status.received
         for report in evidence.reports
-        if not report.is_primary and report.endpoint != takeover.old
+        if not report.is_primary
+        and (has_unseen_order(takeover) or report.endpoint != takeover.old)
     ]
     greatest = max(received, default=candidate.status.received)
     return candidate.status.received >= greatest and knows_every_commit(
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/evidence.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/evidence_collector.py
@@ -8,12 +8,12 @@
 from cowslipfork.ids import EndpointId
 from cowslipfork_direct.endpoint_monitor import EndpointMonitor
 from cowslipfork_direct.group import Group
-from cowslipfork_direct.takeover.decision import (
+from cowslipfork_direct.takeover.decision import is_outdated
+from cowslipfork_direct.takeover.departure_tracker import DepartureTracker
+from cowslipfork_direct.takeover.endpoint_reports import (
     EndpointReport,
     Evidence,
-    is_outdated,
 )
-from cowslipfork_direct.takeover.departure_tracker import DepartureTracker
 from cowslipfork_direct.takeover.records import Takeover
 from cowslipfork_direct.takeover.takeover_context import TakeoverContext
 
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/promoter.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/promoter.py
@@ -27,7 +27,7 @@
     next_step,
 )
 from cowslipfork_direct.takeover.departure_tracker import DepartureTracker
-from cowslipfork_direct.takeover.evidence import EvidenceCollector
+from cowslipfork_direct.takeover.evidence_collector import EvidenceCollector
 from cowslipfork_direct.takeover.fencing import Fencing
 from cowslipfork_direct.takeover.records import (
     Takeover,
--- a/packages/cowslipfork-direct/tests/takeover/test_decision.py
+++ b/packages/cowslipfork-direct/tests/takeover/test_decision.py
@@ -7,13 +7,15 @@
 from cowslipfork_direct.takeover.decision import (
     Abandon,
     Demote,
-    EndpointReport,
-    Evidence,
     Promote,
     Wait,
     may_abandon_unseen,
     next_step,
 )
+from cowslipfork_direct.takeover.endpoint_reports import (
+    EndpointReport,
+    Evidence,
+)
 from cowslipfork_direct.takeover.records import (
     ClaimId,
     Takeover,
@@ -95,6 +97,12 @@
             Abandon('e2'),
         ),
         (takeover(ceiling=3), [primary('e2', 2)], Demote('e2')),
+        # The primary that an unseen order has made goes on.
+        (
+            takeover(ceiling=2),
+            [primary('e2', 2), replica('e3', 9)],
+            Abandon('e2'),
+        ),
         # A primary of term 2 was seen: the log of term 1 is outdated.
         (takeover(led=2, ceiling=2), [primary('e1', 1)], Wait()),
     ],
@@ -156,6 +164,14 @@
             'e2 e3',
             Demote('e1'),
         ),
+        # The old primary may have followed one that nobody saw.
+        (takeover(ceiling=2), [replica('e2', 5)], 'e1 e2', Wait()),
+        (
+            takeover(ceiling=2, handover=True),
+            [replica('e1', 6), replica('e2', 5)],
+            'e1 e2',
+            Wait(),
+        ),
         # In a handover the old primary shows which replica has everything.
         (
             takeover(handover=True),
--- a/packages/cowslipfork-direct/tests/takeover/test_departed_replicas.py
+++ b/packages/cowslipfork-direct/tests/takeover/test_departed_replicas.py
@@ -10,7 +10,7 @@
 
 from cowslipfork.outcomes import Done
 from cowslipfork_direct.link import EndpointRole
-from cowslipfork_direct.takeover.evidence import REPLACEMENT_TIMEOUT
+from cowslipfork_direct.takeover.evidence_collector import REPLACEMENT_TIMEOUT
 
 #: Seconds that a takeover takes once it knows every commit.
 TAKEOVER = 3
--- a/packages/cowslipfork-direct/tests/takeover/test_outdated_replicas.py
+++ b/packages/cowslipfork-direct/tests/takeover/test_outdated_replicas.py
@@ -9,7 +9,7 @@
 
 from cowslipfork.outcomes import Done
 from cowslipfork_direct.link import EndpointRole
-from cowslipfork_direct.takeover.evidence import LAST_PRIMARY_TIMEOUT
+from cowslipfork_direct.takeover.evidence_collector import LAST_PRIMARY_TIMEOUT
 
 #: Seconds that a takeover takes once a replica can be promoted.
 TAKEOVER = 3
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/direct_table.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/direct_table.py
@@ -426,7 +426,7 @@
     ),
     Mutant(
         'direct: a replica that has left may hold acknowledged commits',
-        _DIRECT / 'takeover/evidence.py',
+        _DIRECT / 'takeover/evidence_collector.py',
         'return listed | awaited',
         'return listed',
         f'{_TAKEOVER}/test_departed_replicas.py',
