--- a/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/claims.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/claims.py
@@ -338,10 +338,13 @@
     Returns:
         The highest term that certainly had a primary, and the highest that may
         have had one: an order whose effect was never observed may have
-        promoted one more primary.
+        promoted one more primary. An abandoned takeover has promoted none, but
+        the one that goes on may have been promoted by an earlier order.
     """
-    if last is None or last.phase is TakeoverPhase.ABANDONED:
+    if last is None:
         return observed_term, observed_term
+    if last.phase is TakeoverPhase.ABANDONED:
+        return observed_term, max(observed_term, last.ceiling)
     if last.phase is TakeoverPhase.DONE:
         led = max(observed_term, last.term)
         return led, led
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/direct_table.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/direct_table.py
@@ -480,4 +480,11 @@
         'if self._paused:',
         f'{_TESTS}/test_drained_primary.py',
     ),
+    Mutant(
+        'direct: a claim keeps the ceiling of an abandoned takeover',
+        _DIRECT / 'takeover/claims.py',
+        'return observed_term, max(observed_term, last.ceiling)',
+        'return observed_term, observed_term',
+        f'{_TAKEOVER}/test_decision_search.py',
+    ),
 )
