--- a/packages/cowslipfork-direct/tests/test_promises.py
+++ b/packages/cowslipfork-direct/tests/test_promises.py
@@ -14,6 +14,7 @@
 from cowslipfork.store import LeaseLost
 from cowslipfork.store.memory import Fault
 from cowslipfork_direct.answers import SessionState
+from cowslipfork_direct.link import EndpointRole
 
 #: Number of seeds; ``PROMISES=200`` runs more than the default.
 SEEDS = int(os.environ.get('PROMISES', '12'))
@@ -289,6 +290,53 @@
     made.list_servers()
 
 
+async def unseen_promotion(made, rng, seconds):
+    """Loses the next primary as it takes the lead, and a replica before."""
+    if any(server.blocked for server in made.servers.values()):
+        return
+    database = made.database
+    become_primary = database._become_primary
+    lost = []
+
+    def lose(server):
+        database._become_primary = become_primary
+        server.blocked = True
+        lost.append(server)
+        become_primary(server)
+
+    others = [one for one in made.servers.values() if one != database.primary]
+    rng.choice(others).blocked = True
+    database._become_primary = lose
+    await leaving_primary(made, rng, 2 * seconds)
+    database._become_primary = become_primary
+    for server in (*lost, *others):
+        server.blocked = False
+
+
+async def lost_primaries(made, rng, seconds):
+    """Loses a primary and the next one; the first one is back before."""
+    first = made.database.primary
+    if any(server.blocked for server in made.servers.values()):
+        return
+    deaf = rng.choice([one for one in made.servers.values() if one != first])
+    deaf.replication_blocked = True
+    await asyncio.sleep(rng.uniform(0.1, 1))
+    first.blocked = True
+    await asyncio.sleep(rng.uniform(2, 4))
+    deaf.replication_blocked = False
+    second = made.database.primary
+    second.blocked = True
+    if second is not first:
+        first.role = EndpointRole.REPLICA
+        first.blocked = False
+    await asyncio.sleep(seconds)
+    first.blocked = False
+    second.blocked = False
+
+
+#: Faults of which the second review has shown the same.
+LATER_REVIEWED_FAULTS = (unseen_promotion, lost_primaries)
+
 #: Faults of which the independent review has shown that nodes broke under them.
 REVIEWED_FAULTS = (
     lapsed_entries,
@@ -308,6 +356,12 @@
     play(seed, (*REVIEWED_FAULTS, *REVIEWED_FAULTS, *OTHER_FAULTS))
 
 
+@pytest.mark.parametrize('seed', range(FIRST_SEED, FIRST_SEED + SEEDS))
+def test_random_histories_with_lost_primaries_keep_the_promises(seed):
+    """Guards against takeovers that forget what earlier ones have done."""
+    play(seed, (*LATER_REVIEWED_FAULTS, lost_answers, killed_node))
+
+
 @pytest.mark.parametrize('seed', range(FIRST_SEED, FIRST_SEED + SEEDS))
 def test_random_histories_have_no_violations_and_recover(seed):
     play(seed, FAULTS)
