--- a/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/takeover_table.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/takeover_table.py
@@ -56,8 +56,8 @@
     Mutant(
         'direct: an order without an answer is repeated',
         _TAKEOVER / 'promoter.py',
-        'candidate = self._uncertain or await self._choose_candidate(',
-        'candidate = await self._choose_candidate(',
+        'if self._uncertain is not None:',
+        'if self._uncertain is self._group:',
         _LOST_WRITES,
     ),
     Mutant(
@@ -149,9 +149,9 @@
     ),
     Mutant(
         'direct: a candidate is compared with replicas that are busy',
-        _TAKEOVER / 'promoter.py',
-        'return len(known) > len(replicas) - synchronous',
-        'return bool(replicas)',
+        _TAKEOVER / 'decision.py',
+        'return len(missing) < evidence.synchronous',
+        'return bool(answered)',
         f'{_TESTS}/test_synchronous_replicas.py',
     ),
     Mutant(
