--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,9 +1,8 @@
-"""Two primaries are replaced; the store's answer to one node is late."""
+"""Two primaries are replaced; one order of promotion is held up on its way."""
 
 from __future__ import annotations
 
 import asyncio
-import json
 from pathlib import Path
 
 from stand_in_3.client import Session
@@ -15,11 +14,9 @@
 #: Services without a common carrier: different nodes order their promotions.
 FIRST, SECOND = 'almanac2', 'prints2'
 
-#: Seconds by which a lost packet is late: it is sent again.
-RESENT_AFTER = 0.35
-
-TAKEOVER = f'cowslipfork/takeovers/{FIRST}'
-DUTY = 'cowslipfork/duty'
+#: Seconds from the first order, when the link to the platform is cut, to the
+#: end of the cut.
+CUT = 1.2
 
 LOGS = ('promotion_ordered', 'order_lost', 'claim_lost')
 
@@ -44,57 +41,37 @@
         asyncio.create_task(_use(deployment, f'{service}-db', number))
         for number, service in enumerate((FIRST, SECOND))
     ]
-    claimed = asyncio.Event()
-    _watch(deployment, claimed, trouble)
+    ordered = asyncio.Event()
+    for node in deployment.nodes.values():
+        _watch(deployment, node, ordered, trouble)
     _release(deployment, FIRST)
     try:
         async with asyncio.timeout(10):
-            await claimed.wait()
+            await ordered.wait()
     except TimeoutError:
-        raise CannotRun('no change of primary was claimed') from None
+        raise CannotRun('no promotion was ordered') from None
     _release(deployment, SECOND)
+    await asyncio.sleep(CUT)
+    for node in deployment.nodes.values():
+        node.promotions.heal()
+    deployment.record('links to the platform are whole')
     await asyncio.sleep(6)
     for client in clients:
         client.cancel()
     return _judge(deployment)
 
 
-def _watch(deployment, claimed, trouble):
-    """Has one packet lost: the store's answer to the record of an order."""
-    ordered = asyncio.Event()
+def _watch(deployment, node, ordered, trouble):
+    """Cuts a node's link to the platform when it sends the first order."""
 
-    def on_change(key, value, revision):
-        if value is None:
-            return
-        if key == DUTY:
-            record = json.loads(value)
-            deployment.record(
-                f'store: duty is of {record["holder"]}, revision {revision}')
-        if key != TAKEOVER:
-            return
-        claimed.set()
-        record = json.loads(value)
-        if record['phase'] == 'ordered' and not ordered.is_set():
+    def on_sent(_):
+        if not ordered.is_set():
             ordered.set()
             if trouble:
-                _lose_answer(deployment, record['claimer'], revision)
-
-    deployment.store.on_change = on_change
-
-
-def _lose_answer(deployment, name, revision):
-    link = deployment.nodes[name].store
-    expected = json.dumps({'revision': revision}).encode()
-
-    def answer_delay(connection, piece):
-        if piece.endswith(b'\r\n\r\n' + expected):
-            deployment.record(f'answer of the store to {name} is lost once')
-            return RESENT_AFTER
-        if DUTY.encode() in piece:
-            deployment.record(f'{name} is sent a change of the duty')
-        return 0
+                node.promotions.cut()
+                deployment.record(f'link of {node.name} to the platform cut')
 
-    link.answer_delay = answer_delay
+    node.promotions.on_sent = on_sent
 
 
 def _release(deployment, service):
--- a/review/stand_in_3/deployment.py
+++ b/review/stand_in_3/deployment.py
@@ -11,6 +11,7 @@
 import sys
 import tempfile
 import time
+from base64 import b64decode, b64encode
 from pathlib import Path
 
 from stand_in_3.http import HttpServer
@@ -23,6 +24,9 @@
 #: The command of the deploy file, role ``node``.
 RUN = ('python3', '-OO', '-S', '-m', 'cowslipfork_platform')
 
+#: Prefix of the nodes' entries.
+NODES = 'cowslipfork/nodes/'
+
 SETTINGS = """\
 [node]
 vm = {name}
@@ -52,15 +56,31 @@
         self._file = open(Path(folder) / 'record.txt', 'w')
         self._begun = time.monotonic()
         self.runs = []
+        #: Commits: seconds, server, term, id of the statement.
+        self.commits = []
+        #: Promotions that took effect: seconds, server, term.
+        self.promotions = []
+
+    def seconds(self):
+        return time.monotonic() - self._begun
 
     def __call__(self, text):
-        seconds = time.monotonic() - self._begun
-        self._file.write(f'{seconds:9.4f} {text}\n')
+        self._file.write(f'{self.seconds():9.4f} {text}\n')
         self._file.flush()
 
-    def ran(self, server, query_id, word, item, data):
-        self.runs.append((server.name, query_id, word, item, data))
-        self(f'run at {server.name}: {query_id} {word} {item} {data}'.rstrip())
+    def ran(self, connection, query_id, word, item, data):
+        name = connection.server.name
+        self.runs.append((name, query_id, word, item, data))
+        self(f'run at {name}: {query_id} {word} {item} {data}'.rstrip())
+
+    def committed(self, server, query_id, writes):
+        term = server.term
+        self.commits.append((self.seconds(), server.name, term, query_id))
+        self(f'committed at {server.name} in term {term}: {query_id} {writes}')
+
+    def promoted(self, server):
+        self.promotions.append((self.seconds(), server.name, server.term))
+        self(f'{server.service.name}: {server.name} leads term {server.term}')
 
 
 class Node:
@@ -128,14 +148,23 @@
                           self.store, self.record)
             for name in service_names
         }
+        #: The store as each node sees it, with its own links to the others.
+        self.views = {
+            name: HttpServer(self._view_of(name)) for name in node_names
+        }
         self.nodes = {}
         for number, name in enumerate(node_names):
             self.nodes[name] = Node(
                 name, zones[number % len(zones)],
-                Link(lambda: self.store.port),
+                Link(lambda name=name: self.views[name].port),
                 Link(lambda: self.promotions.port))
         self.tenants = tenants
         self.max_connections = max_connections
+        #: Links between nodes, by the node that connects and the other one.
+        self.peers = {
+            (one, other): Link(lambda other=other: self.nodes[other].ports[3])
+            for one in node_names for other in node_names if one != other
+        }
         self.routes = []
         self.version = 3
         self._heartbeats = []
@@ -171,7 +200,10 @@
         for service in self.services.values():
             await service.start()
         self.configure()
+        for link in self.peers.values():
+            await link.start()
         for node in self.nodes.values():
+            await self.views[node.name].start()
             await node.store.start()
             await node.promotions.start()
             node.start(self.logs)
@@ -183,8 +215,58 @@
             while not await node.ready():
                 if time.monotonic() > until:
                     raise CannotRun(f'{node.name} is not ready')
+                if not node.running:
+                    # Another process has taken one of its ports.
+                    node.ports = free_ports(4)
+                    node.start(self.logs)
                 await asyncio.sleep(0.1)
 
+    def _view_of(self, name):
+        """Returns a handler of the store's calls of one node.
+
+        It has the node find its links to the other nodes in their entries, as
+        an address translation would.
+        """
+
+        def translated(item):
+            other = item['key'].removeprefix(NODES)
+            link = self.peers.get((name, other))
+            if link is None or 'value' not in item:
+                return item
+            entry = json.loads(b64decode(item['value']))
+            entry['relay']['port'] = link.port
+            return {**item, 'value': b64encode(
+                json.dumps(entry).encode()).decode()}
+
+        async def handle(*call):
+            status, content = await self.store.handle(*call)
+            if not content:
+                return status, content
+            content = dict(content)
+            for field in ('items', 'events'):
+                if field in content:
+                    content[field] = list(map(translated, content[field]))
+            return status, translated(content) if 'key' in content else content
+
+        return handle
+
+    def cut_off(self, name):
+        """Cuts a node off from the platform and from all other nodes."""
+        for link in self._links_of(name):
+            link.cut()
+        self.record(f'{name} is cut off')
+
+    def connect(self, name):
+        """Ends that; what was held up is delivered."""
+        self.record(f'{name} is no longer cut off')
+        for link in self._links_of(name):
+            link.heal()
+
+    def _links_of(self, name):
+        node = self.nodes[name]
+        between = [link for ends, link in self.peers.items() if name in ends]
+        return [node.store, node.promotions, *between]
+
     async def _promote(self, method, path, query, headers, body):
         fields = json.loads(body)
         holder = headers['x-duty-holder']
@@ -213,6 +295,10 @@
                 node.process.wait()
             node.store.close()
             node.promotions.close()
+        for link in self.peers.values():
+            link.close()
+        for view in self.views.values():
+            view.close()
         self.store.close()
         self.promotions.close()
         self.temporary.cleanup()
--- a/review/stand_in_3/links.py
+++ b/review/stand_in_3/links.py
@@ -9,7 +9,8 @@
     """Forwards connections; what passes can be held up or delayed.
 
     A link that is held up is a partition that heals: bytes wait, and are lost
-    if their sender closes or resets the connection meanwhile.
+    if their sender resets the connection meanwhile. A sender that only closes
+    it has its bytes delivered, as its kernel goes on sending them.
     """
 
     def __init__(self, target):
@@ -48,37 +49,46 @@
         except OSError:
             writer.transport.abort()
             return
-        there = asyncio.create_task(
-            self._forward(reader, far_writer, None, writer))
-        back = asyncio.create_task(
-            self._forward(far_reader, writer, number, far_writer))
-        await asyncio.wait((there, back), return_when=asyncio.FIRST_COMPLETED)
-        for task in (there, back):
+        tasks = (
+            asyncio.create_task(self._forward_requests(reader, far_writer)),
+            asyncio.create_task(
+                self._forward_answers(far_reader, writer, number)),
+        )
+        await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+        # What the other direction still has to deliver takes no longer.
+        await asyncio.wait(tasks, timeout=0.1)
+        for task in tasks:
             task.cancel()
         for one in (writer, far_writer):
             one.transport.abort()
 
-    async def _forward(self, reader, writer, number, near):
+    async def _forward_requests(self, reader, writer):
         try:
             while piece := await reader.read(65_536):
-                if number is None:
-                    self.on_sent(piece)
-                    if not await self._passes(reader):
-                        return
-                else:
-                    await self._open.wait()
-                    delay = self.answer_delay(number, piece)
-                    if delay:
-                        await asyncio.sleep(delay)
+                self.on_sent(piece)
+                if not await self._passes(reader):
+                    return
+                writer.write(piece)
+                await writer.drain()
+        except OSError:
+            return
+
+    async def _forward_answers(self, reader, writer, number):
+        try:
+            while piece := await reader.read(65_536):
+                await self._open.wait()
+                delay = self.answer_delay(number, piece)
+                if delay:
+                    await asyncio.sleep(delay)
                 writer.write(piece)
                 await writer.drain()
         except OSError:
             return
 
     async def _passes(self, reader):
-        """Waits until the link is open; False if the sender is gone."""
+        """Waits until the link is open; False once the sender has reset it."""
         while not self._open.is_set():
-            if reader.at_eof() or reader.exception() is not None:
+            if reader.exception() is not None:
                 return False
             await asyncio.sleep(0.01)
-        return not (reader.at_eof() or reader.exception() is not None)
+        return reader.exception() is None
--- a/review/stand_in_3/servers.py
+++ b/review/stand_in_3/servers.py
@@ -32,7 +32,7 @@
         self.zone = zone
         self.primary = False
         self.term = 1
-        self.log = []  # (term, {item: data})
+        self.log = []  # (term, {item: data}, id of the commit)
         self.applied = 0
         self.held = 0
         self.draining = False
@@ -53,7 +53,7 @@
         return not count or self.log[count - 1][0] == int(term)
 
     def value(self, item):
-        for _, writes in reversed(self.log[: self.applied]):
+        for _, writes, _ in reversed(self.log[: self.applied]):
             if item in writes:
                 return writes[item]
         return '-'
@@ -120,8 +120,9 @@
         if not server.dark:
             self.store.put(f'servers/{server.name}', server.entry())
 
-    def commit(self, server, writes):
-        server.log.append((server.term, dict(writes)))
+    def commit(self, server, writes, query_id):
+        server.log.append((server.term, dict(writes), query_id))
+        self.record.committed(server, query_id, dict(writes))
         server.applied = len(server.log)
         for replica in self.list:
             if replica is not server:
@@ -160,7 +161,7 @@
         server.primary = True
         server.held = 0
         server.applied = len(server.log)
-        self.record(f'{self.name}: {server.name} leads term {server.term}')
+        self.record.promoted(server)
         self.report(server)
         for other in self.list:
             if other is not server:
@@ -182,11 +183,11 @@
     """One connection to a server."""
 
     def __init__(self, server, reader, writer):
-        self._server = server
+        self.server = self._server = server
         self._reader = reader
         self._writer = writer
-        self._values = {}
-        self._prepared = {}
+        self.values = self._values = {}
+        self.prepared = self._prepared = {}
         self._mode = ''  # '', 'READ' or 'WRITE'
         self._failed = False
         self._writes = {}
@@ -303,17 +304,17 @@
         if needs_lead and not server.primary:
             self._failed = bool(self._mode)
             return (f'ERR READONLY {server.name}',)
-        server.service.record.ran(server, query_id, word, item, data)
+        server.service.record.ran(self, query_id, word, item, data)
         rows = ()
         if word == 'READ':
             rows = (f'ROW {self._writes.get(item, server.value(item))}',)
         elif word == 'WRITE' and self._mode:
             self._writes[item] = data
         elif word == 'WRITE':
-            server.service.commit(server, {item: data})
+            server.service.commit(server, {item: data}, query_id)
         elif word == 'COMMIT':
             if self._writes:
-                server.service.commit(server, self._writes)
+                server.service.commit(server, self._writes, query_id)
             self._end()
         number = next(_signatures)
         return (*rows, f'DONE {server.term}.{number:x}.{query_id}')
--- a/review/stand_in_3/store.py
+++ b/review/stand_in_3/store.py
@@ -25,7 +25,7 @@
         self._leases = {}
         self._next_lease = 100
         self._changed = asyncio.Event()
-        self._http = HttpServer(self._handle)
+        self._http = HttpServer(self.handle)
         #: Called after each change with key, value (None: removed), revision.
         self.on_change = lambda key, value, revision: None
         #: Returns the seconds that the answer to a call takes.
@@ -68,7 +68,7 @@
         changed.set()
         return self.revision
 
-    async def _handle(self, method, path, query, headers, body):
+    async def handle(self, method, path, query, headers, body):
         fields = json.loads(body) if body else {}
         verb, _, last = path.strip('/').partition('/')
         answer = await getattr(self, '_' + verb.replace('-', '_'))(
