--- a/review/12/case.py
+++ b/review/12/case.py
@@ -5,15 +5,22 @@
 import asyncio
 from pathlib import Path
 
-from stand_in_3.client import Session
 from stand_in_3.deployment import CannotRun, Deployment, run_case
-
-ZONES = ('lahore-a', 'faisalabad-a', 'multan-a')
-NODES = tuple(f'front-{zone}-{number}' for number in (1, 2) for zone in ZONES)
+from stand_in_3.scenario import (
+    NODES,
+    SETTLED_AFTER,
+    ZONES,
+    release,
+    sends_lower_token,
+    use_database,
+    wait_until,
+)
 
 #: Services without a common carrier: different nodes order their promotions.
 FIRST, SECOND = 'almanac2', 'prints2'
 
+TENANTS = [{'name': 'parish', 'apiKeys': ['k'], 'priority': 0}]
+
 #: Seconds from the first order, when the link to the platform is cut, to the
 #: end of the cut.
 CUT = 1.2
@@ -22,8 +29,7 @@
 
 
 async def play(folder, trouble):
-    tenants = [{'name': 'parish', 'apiKeys': ['k'], 'priority': 0}]
-    deployment = Deployment(folder, NODES, ZONES, (FIRST, SECOND), tenants)
+    deployment = Deployment(folder, NODES, ZONES, (FIRST, SECOND), TENANTS)
     try:
         return await _play(deployment, trouble)
     finally:
@@ -35,38 +41,37 @@
     for service in (FIRST, SECOND):
         deployment.add_route(f'{service}-db', service)
     await deployment.start()
-    # The listing of servers counts as settled after some seconds.
-    await asyncio.sleep(4)
+    await asyncio.sleep(SETTLED_AFTER)
+    acknowledged = set()
+    entry = deployment.nodes[NODES[0]]
     clients = [
-        asyncio.create_task(_use(deployment, f'{service}-db', number))
-        for number, service in enumerate((FIRST, SECOND))
+        asyncio.create_task(
+            use_database(deployment, entry, f'{service}-db', 0.1, acknowledged))
+        for service in (FIRST, SECOND)
     ]
-    ordered = asyncio.Event()
+    ordering = asyncio.Future()
     for node in deployment.nodes.values():
-        _watch(deployment, node, ordered, trouble)
-    _release(deployment, FIRST)
-    try:
-        async with asyncio.timeout(10):
-            await ordered.wait()
-    except TimeoutError:
-        raise CannotRun('no promotion was ordered') from None
-    _release(deployment, SECOND)
+        _watch(deployment, node, ordering, trouble)
+    release(deployment, deployment.services[FIRST].primary)
+    await wait_until(ordering.done, 10, 'no order')
+    release(deployment, deployment.services[SECOND].primary)
     await asyncio.sleep(CUT)
-    for node in deployment.nodes.values():
-        node.promotions.heal()
-    deployment.record('links to the platform are whole')
+    deployment.nodes[ordering.result()].promotions.heal()
+    deployment.record('the link to the platform is whole')
     await asyncio.sleep(6)
     for client in clients:
         client.cancel()
-    return _judge(deployment)
+    if {service for _, _, service, _ in deployment.orders} != {FIRST, SECOND}:
+        raise CannotRun('not both services got an order')
+    return sends_lower_token(deployment)
 
 
-def _watch(deployment, node, ordered, trouble):
-    """Cuts a node's link to the platform when it sends the first order."""
+def _watch(deployment, node, ordering, trouble):
+    """Cuts the first node that orders off from where it sends the order."""
 
     def on_sent(_):
-        if not ordered.is_set():
-            ordered.set()
+        if not ordering.done():
+            ordering.set_result(node.name)
             if trouble:
                 node.promotions.cut()
                 deployment.record(f'link of {node.name} to the platform cut')
@@ -74,45 +79,5 @@
     node.promotions.on_sent = on_sent
 
 
-def _release(deployment, service):
-    primary = deployment.services[service].primary
-    primary.draining = True
-    deployment.services[service].report(primary)
-    deployment.record(f'{primary.name} of {service} reports draining')
-
-
-async def _use(deployment, database, number):
-    """Writes and reads, a statement each tenth of a second."""
-    node = list(deployment.nodes.values())[number]
-    session = None
-    count = 0
-    while True:
-        count += 1
-        try:
-            session = session or await Session.open(
-                node.ports[0], database, record=deployment.record)
-            await session.query(f'WRITE a {count:04}')
-            await session.query('READ a')
-        except (OSError, TimeoutError, asyncio.IncompleteReadError):
-            session = None
-        await asyncio.sleep(0.1)
-
-
-def _judge(deployment):
-    """Rule ONE: no order with a lower token than the platform has seen."""
-    if {service for _, _, service, _ in deployment.orders} != {FIRST, SECOND}:
-        raise CannotRun('not both services got an order')
-    greatest = 0
-    broken = False
-    for holder, fence, service, _ in deployment.orders:
-        if fence < greatest:
-            deployment.record(
-                f'BROKEN: {holder} ordered for {service} with {fence} after '
-                f'{greatest} was seen')
-            broken = True
-        greatest = max(greatest, fence)
-    return broken
-
-
 if __name__ == '__main__':
     run_case(Path(__file__).parent, play)
--- a/review/stand_in_3/client.py
+++ b/review/stand_in_3/client.py
@@ -9,13 +9,12 @@
 class Session:
     """A client's connection; ``query`` returns rows, the end, the state."""
 
-    def __init__(self, reader, writer, record=None):
+    def __init__(self, reader, writer):
         self._reader = reader
         self._writer = writer
-        self._record = record or (lambda text: None)
 
     @classmethod
-    async def open(cls, port, database, key='k', record=None):
+    async def open(cls, port, database, key='k'):
         reader, writer = await asyncio.open_connection(
             '127.0.0.1', port, limit=2**21)
         writer.write(f'START {database} {key}\r\n'.encode())
@@ -24,7 +23,7 @@
         if not line.startswith(b'READY'):
             writer.close()
             raise ConnectionError(line.decode())
-        return cls(reader, writer, record)
+        return cls(reader, writer)
 
     async def query(self, text, query_id=None, timeout=5):
         query_id = query_id or uuid.uuid4().hex[:16]
@@ -41,7 +40,6 @@
                     break
                 else:
                     end = line
-        self._record(f'answer to {query_id} {text}: {rows} {end} | {line}')
         return rows, end, line
 
     def close(self):
--- a/review/stand_in_3/store.py
+++ b/review/stand_in_3/store.py
@@ -6,8 +6,6 @@
 import json
 from base64 import b64decode, b64encode
 
-from stand_in_3.http import HttpServer
-
 #: Seconds that an answer of the store takes.
 ANSWER_TIME = 0.004
 
@@ -25,23 +23,16 @@
         self._leases = {}
         self._next_lease = 100
         self._changed = asyncio.Event()
-        self._http = HttpServer(self.handle)
         #: Called after each change with key, value (None: removed), revision.
         self.on_change = lambda key, value, revision: None
         #: Returns the seconds that the answer to a call takes.
         self.answer_time = lambda method, path, body: ANSWER_TIME
 
-    @property
-    def port(self):
-        return self._http.port
-
     async def start(self):
-        await self._http.start()
         self._expiry = asyncio.create_task(self._expire())
 
     def close(self):
         self._expiry.cancel()
-        self._http.close()
 
     def put(self, key, value, lease=0):
         """Writes as the operator or a server does."""
