review: requests lost at the end of a stopped node (case 12)

Cause: a node that is stopped waits for other nodes' work after its callers are gone, accepts callers meanwhile, and then ends without waiting for them.

--- a/review/stand_in_3/deployment.py
+++ b/review/stand_in_3/deployment.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -56,6 +57,8 @@
         self._file = open(Path(folder) / 'record.txt', 'w')
         self._begun = time.monotonic()
         self.runs = []
+        #: Ids of the statements that reached a server.
+        self.passed_on = set()
         #: Commits: seconds, server, term, id of the statement.
         self.commits = []
         #: Promotions that took effect: seconds, server, term.
@@ -68,6 +71,10 @@
         self._file.write(f'{self.seconds():9.4f} {text}\n')
         self._file.flush()
 
+    def arrived(self, connection, query_id):
+        self.passed_on.add(query_id)
+        self(f'reached {connection.server.name}: {query_id}')
+
     def ran(self, connection, query_id, word, item, data):
         name = connection.server.name
         self.runs.append((name, query_id, word, item, data))
@@ -305,12 +312,16 @@
 
 
 def free_ports(count):
-    sockets = [socket.socket() for _ in range(count)]
-    for one in sockets:
-        one.bind(('127.0.0.1', 0))
-    ports = [one.getsockname()[1] for one in sockets]
-    for one in sockets:
-        one.close()
+    """Returns ports that no connection gets by chance."""
+    ports = []
+    while len(ports) < count:
+        port = random.randrange(15_000, 30_000)
+        with socket.socket() as one:
+            try:
+                one.bind(('127.0.0.1', port))
+            except OSError:
+                continue
+        ports.append(port)
     return ports
 
 
--- a/review/stand_in_3/servers.py
+++ b/review/stand_in_3/servers.py
@@ -291,6 +291,7 @@
                 return ('ERR NOSTMT name',)
             word = self._prepared[name][0]
         item, _, data = rest.partition(' ')
+        server.service.record.arrived(self, query_id)
         if self._failed:
             self._end()
             return ('ERR ABORTED rolled back',)
