--- a/packages/cowslipfork-direct/src/cowslipfork_direct/connected_callers.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/connected_callers.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import logging
+import math
 from collections import Counter
 from collections.abc import Awaitable, Callable, Collection, Iterator
 from contextlib import contextmanager
@@ -25,6 +26,25 @@
 #: ended.
 POLL_INTERVAL: Final = 0.05
 
+#: Seconds for which the first request of a new connection is expected.
+FIRST_REQUEST_WAIT: Final = 0.5
+
+#: Seconds for which a further request is expected after an answer.
+NEXT_REQUEST_WAIT: Final = 0.1
+
+
+@unique
+class CallerActivity(Enum):
+    """What a connection is used for at the moment."""
+
+    #: Its session has not begun.
+    STARTING = 'starting'
+    #: A request is buffered or served.
+    REQUEST = 'request'
+    #: It is idle inside a transaction.
+    TRANSACTION = 'transaction'
+    IDLE = 'idle'
+
 
 @unique
 class Withdrawal(Enum):
@@ -53,6 +73,7 @@
         self._close = close
         self._session: Session | None = None
         self._serving_request = False
+        self._request_expected_until = _loop_time() + FIRST_REQUEST_WAIT
 
     @property
     def idle(self) -> bool:
@@ -64,6 +85,26 @@
         """Whether the caller has an open transaction."""
         return self._state is SessionState.IN_TRANSACTION
 
+    @property
+    def activity(self) -> CallerActivity:
+        """What the connection is used for at the moment."""
+        if not self.idle:
+            return CallerActivity.REQUEST
+        if self._session is None:
+            return CallerActivity.STARTING
+        if self.in_transaction:
+            return CallerActivity.TRANSACTION
+        return CallerActivity.IDLE
+
+    @property
+    def quiet(self) -> bool:
+        """Whether no request is served, or likely to be on its way.
+
+        A caller sends its first request as soon as its session has begun.
+        """
+        idle = self.idle and not self.in_transaction
+        return idle and _loop_time() >= self._request_expected_until
+
     @property
     def key_loss(self) -> str | None:
         """Why the key allows no more what is open; None if it does."""
@@ -77,6 +118,7 @@
     async def abort_transaction(self, cause: str) -> None:
         """Rolls back an open transaction; the next statement reports it."""
         if self._session is not None:
+            self._expect_request(NEXT_REQUEST_WAIT)
             await self._session.abort(cause)
 
     def close(self) -> None:
@@ -99,6 +141,7 @@
     def start_session(self, session: Session) -> None:
         """Notes the session that the caller has opened."""
         self._session = session
+        self._expect_request(FIRST_REQUEST_WAIT)
 
     async def end_session(self) -> None:
         """Ends the session, if one was opened."""
@@ -113,6 +156,7 @@
             yield
         finally:
             self._serving_request = False
+            self._expect_request(NEXT_REQUEST_WAIT)
 
     async def next_request(
         self, session: Session, read: Callable[[], Awaitable[str]]
@@ -131,6 +175,9 @@
                 await session.abort('the transaction was idle for too long')
         return await read()
 
+    def _expect_request(self, seconds: float) -> None:
+        self._request_expected_until = _loop_time() + seconds
+
 
 class ConnectedCallers:
     """All callers that are connected to this node."""
@@ -139,12 +186,38 @@
         """Starts without callers."""
         self._connected: set[ConnectedCaller] = set()
         self._keys_changed = asyncio.Event()
+        #: Connections that were accepted and are not served yet.
+        self._accepted = 0
+        self._last_accepted_at = -math.inf
 
     @property
     def connected(self) -> Collection[ConnectedCaller]:
         """Callers that are connected now."""
         return self._connected
 
+    @property
+    def last_accepted_at(self) -> float:
+        """Loop time at which the last connection was accepted."""
+        return self._last_accepted_at
+
+    def count_by_activity(self) -> Counter[CallerActivity]:
+        """Counts connections, with those that are accepted and not served."""
+        counts = Counter(caller.activity for caller in self._connected)
+        counts[CallerActivity.STARTING] += self._accepted
+        return counts
+
+    def count_accepted(self) -> None:
+        """Counts a connection that ``accepted_connection_of`` will serve."""
+        self._accepted += 1
+        self._last_accepted_at = _loop_time()
+
+    @contextmanager
+    def accepted_connection_of(self, caller: ConnectedCaller) -> Iterator[None]:
+        """Serves a connection that ``count_accepted`` has counted."""
+        self._accepted -= 1
+        with self.connection_of(caller):
+            yield
+
     @contextmanager
     def connection_of(self, caller: ConnectedCaller) -> Iterator[None]:
         """Counts a caller as connected during the block."""
@@ -176,6 +249,10 @@
                 await asyncio.sleep(POLL_INTERVAL)
 
 
+def _loop_time() -> float:
+    return asyncio.get_running_loop().time()
+
+
 async def _end_idle(callers: Collection[ConnectedCaller]) -> None:
     """Ends what idle callers of withdrawn keys have open."""
     if not callers:
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/forwarding/carrier_service.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/forwarding/carrier_service.py
@@ -71,10 +71,15 @@
         """Number of open transactions of other nodes."""
         return sum(map(len, self._transactions.values()))
 
+    @property
+    def open_work(self) -> int:
+        """Number of statements that run and of open transactions."""
+        return self._running + self.open_transactions
+
     @property
     def idle(self) -> bool:
         """Whether no statement runs and no transaction is open."""
-        return not (self._running or self.open_transactions)
+        return not self.open_work
 
     def register(self, server: PeerServer) -> None:
         """Registers what answers the requests of other nodes.
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/node.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/node.py
@@ -104,6 +104,7 @@
         """
         options = options or CarrierOptions()
         self._answer_by = math.inf
+        self._transactions_until = math.inf
         self._adapters = adapters
         self._name = identity.name
         self._eras = adapters.eras
@@ -219,6 +220,7 @@
             self._workspaces.priority,
             self._rate_limits,
             lambda: self._answer_by,
+            lambda: self._transactions_until,
             self._metrics,
         )
         add_group_gauges(self._metrics, self._view)
@@ -247,6 +249,11 @@
         """Callers that are connected to this node."""
         return self._callers
 
+    @property
+    def forwarded_work(self) -> int:
+        """Number of open statements and transactions of other nodes."""
+        return self._carrier_service.open_work
+
     @property
     def _records_known(self) -> bool:
         """Whether this node knows all that was written before this era."""
@@ -325,30 +332,47 @@
         finally:
             self._close()
 
-    def start_leaving(self, answer_by: float = math.inf) -> None:
+    def start_leaving(
+        self,
+        answer_by: float = math.inf,
+        transactions_until: float = math.inf,
+    ) -> None:
         """Has other nodes send no new statements to this one.
 
         Callers are served as long as their statements can be answered in time.
 
         Args:
             answer_by: loop time by which every statement must be answered.
+            transactions_until: loop time at which callers' open transactions
+                will be rolled back.
         """
         self._answer_by = answer_by
+        self._transactions_until = transactions_until
         self._carrier_service.leave(self._peer_server)
         if self._placement.any_carriers:
             self._registration.withdraw()
 
-    async def leave(self, until: float) -> None:
+    async def leave(self, by: float) -> None:
         """Ends the work for other nodes and removes this one from the store.
 
-        The node must not serve callers any more.
+        The node must not serve callers any more. Neither an endpoint nor the
+        store that doesn't answer holds the other up.
 
         Args:
-            until: loop time at which other nodes' transactions are rolled
-                back.
+            by: loop time at which what has not ended is given up.
         """
-        await self._carrier_service.drain(until)
-        await self._registration.deregister()
+        try:
+            async with asyncio.timeout_at(by):
+                await asyncio.gather(
+                    self._end_forwarded_work(),
+                    self._registration.deregister(),
+                )
+        except TimeoutError:
+            log.warning('leaving_incomplete')
+
+    async def _end_forwarded_work(self) -> None:
+        await self._carrier_service.drain(asyncio.get_running_loop().time())
+        await self._peer_server.flush()
 
     def relayed_addresses(self, store: Address) -> frozenset[Address]:
         """Returns the addresses to which this node relays now.
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/peers/served_link.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/peers/served_link.py
@@ -126,6 +126,11 @@
         self._finished = asyncio.Event()
         self._ended = False
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of replies that wait because the other node is slow."""
+        return self._link.unsent_bytes
+
     @property
     def _full(self) -> bool:
         """Whether no further request may be read."""
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/peers/server.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/peers/server.py
@@ -5,7 +5,7 @@
 import asyncio
 import logging
 from collections.abc import Awaitable, Callable
-from typing import TypeVar
+from typing import Final, TypeVar
 
 from cowslipfork.ids import VmId
 from cowslipfork_direct.peers.codec import MalformedLine, decode
@@ -23,6 +23,12 @@
 
 log = logging.getLogger(__name__)
 
+#: Seconds for other nodes to receive replies that wait to be sent.
+FLUSH_TIMEOUT: Final = 0.5
+
+#: Seconds between two checks whether they have.
+FLUSH_POLL_INTERVAL: Final = 0.01
+
 _Request = TypeVar('_Request', bound=PeerRequest)
 
 
@@ -112,6 +118,14 @@
         for link in self._links:
             link.announce_leaving()
 
+    async def flush(self) -> None:
+        """Waits until the links have sent all replies, for a short time."""
+        end = asyncio.get_running_loop().time() + FLUSH_TIMEOUT
+        while asyncio.get_running_loop().time() < end:
+            await asyncio.sleep(FLUSH_POLL_INTERVAL)
+            if not any(link.unsent_bytes for link in self._links):
+                return
+
     def close(self) -> None:
         """Ends all links and cancels the requests that run."""
         for link in tuple(self._links):
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/session.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/session.py
@@ -72,6 +72,11 @@
 #: at another node.
 LEAVING_RETRY_MS: Final = 50
 
+#: What a caller is told whom a leaving node serves no more.
+LEAVING: Final = NotRun(
+    Reason.DRAINING, LEAVING_RETRY_MS, 'the node is leaving'
+)
+
 #: Why the key of a caller is refused, as opposed to a statement of it.
 _KEY_REFUSALS: Final = frozenset((Reason.UNKNOWN_KEY, Reason.NOT_CURRENT))
 
@@ -95,6 +100,8 @@
             transaction or single statement.
         answer_by: returns the loop time by which everything must be answered;
             infinity unless the node is leaving.
+        transactions_until: returns the loop time at which open transactions
+            will be rolled back; infinity unless the node is leaving.
         metrics: metrics of the node.
     """
 
@@ -104,6 +111,7 @@
     priority: Callable[[WorkspaceName | None], int]
     admission: Admission
     answer_by: Callable[[], float]
+    transactions_until: Callable[[], float]
     metrics: Metrics
 
 
@@ -275,6 +283,9 @@
         """Opens a transaction in the name of the caller's workspace."""
         if self._transaction is not None:
             return _bad_request('a transaction is already open')
+        refusal = refusal_of_leaving(self._context.transactions_until())
+        if refusal is not None:
+            return refusal
         resolved = self._context.resolve(self._database)
         if resolved is None:
             return self._no_route()
@@ -511,7 +522,7 @@
     """
     if asyncio.get_running_loop().time() + MIN_TIME_LEFT < answer_by:
         return None
-    return NotRun(Reason.DRAINING, LEAVING_RETRY_MS, 'the node is leaving')
+    return LEAVING
 
 
 def _bad_request(detail: str) -> NotRun:
--- a/packages/cowslipfork-direct/tests/test_leaving.py
+++ b/packages/cowslipfork-direct/tests/test_leaving.py
@@ -61,6 +61,44 @@
     assert not ran
 
 
+@pytest.mark.parametrize(
+    ('left', 'outcome_type'), [(MIN_TIME_LEFT + 0.1, Done), (0.1, NotRun)]
+)
+def test_a_transaction_begins_only_if_it_has_time(left, outcome_type):
+    """Guards against transactions that are rolled back as they begin."""
+
+    async def main():
+        async with world(nodes=1) as cluster:
+            session = await cluster.session(FRESH)
+            node = cluster.nodes['n1']
+            node.start_leaving(now() + LEFT, now() + left)
+            outcome = await session.run(statement('BEGIN'))
+            return outcome, await session.run(statement('READ a'))
+
+    begun, read = run(main())
+    assert isinstance(begun, outcome_type)
+    assert isinstance(read, Done)
+
+
+@pytest.mark.parametrize('silent', ['store', 'endpoint'])
+def test_leaving_ends_in_time(silent):
+    """Guards against a stop that a store or an endpoint holds up."""
+
+    async def main():
+        async with world(nodes=1) as cluster:
+            await asyncio.sleep(0.1)
+            if silent == 'store':
+                cluster.stores['n1'].blocked = True
+            else:
+                for server in cluster.servers.values():
+                    server.blocked = True
+            begun = now()
+            await cluster.nodes['n1'].leave(begun + 0.7)
+            return now() - begun
+
+    assert run(main()) < 0.8
+
+
 def test_the_refusal_of_a_late_statement_tells_the_reason():
     outcome, _, _ = run_leaving(['READ a'], after=LEFT)
     assert outcome.reason is Reason.DRAINING
--- /dev/null
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/shutdown_table.py
@@ -0,0 +1,104 @@
+"""Mutants of the planned end of a node."""
+
+from __future__ import annotations
+
+from pathlib import PurePosixPath
+from typing import Final
+
+from cowslipfork_lab.mutants.mutant import Mutant
+
+_DIRECT: Final = PurePosixPath(
+    'packages/cowslipfork-direct/src/cowslipfork_direct'
+)
+_DECISION: Final = _DIRECT / 'shutdown/decision.py'
+_SEQUENCE: Final = _DIRECT / 'shutdown/sequence.py'
+_CALLERS: Final = _DIRECT / 'connected_callers.py'
+_PLATFORM_CALLERS: Final = PurePosixPath(
+    'platform/src/cowslipfork_platform/callers.py'
+)
+_TESTS: Final = 'packages/cowslipfork-direct/tests'
+_SEARCH: Final = f'{_TESTS}/shutdown/test_decision_search.py'
+_SEQUENCE_TESTS: Final = f'{_TESTS}/shutdown/test_sequence.py'
+_CALLER_TESTS: Final = (
+    '-c platform/pyproject.toml platform/tests/test_callers.py'
+)
+
+SHUTDOWN_MUTANTS: Final = (
+    Mutant(
+        'shutdown: callers count when the work of other nodes has ended',
+        _DECISION,
+        'return not (self.callers or self.forwarded)',
+        'return not self.forwarded',
+        f'{_SEARCH} {_SEQUENCE_TESTS}',
+    ),
+    Mutant(
+        'shutdown: the work of other nodes counts when callers are gone',
+        _DECISION,
+        'return not (self.callers or self.forwarded)',
+        'return not self.callers',
+        _SEARCH,
+    ),
+    Mutant(
+        'shutdown: a process ends only once nobody can connect',
+        _DECISION,
+        'or (workload.finished and not workload.accepting),',
+        'or workload.finished,',
+        _SEARCH,
+    ),
+    Mutant(
+        'shutdown: no callers are accepted too late to be answered',
+        _DECISION,
+        'and (unneeded or now >= schedule.answer_by),',
+        'and unneeded,',
+        _SEARCH,
+    ),
+    Mutant(
+        'shutdown: callers are accepted while they are routed here',
+        _DECISION,
+        'unneeded = workload.finished and not _is_routed(',
+        'unneeded = workload.finished or _is_routed(',
+        f'{_SEARCH} {_SEQUENCE_TESTS}',
+    ),
+    Mutant(
+        'shutdown: a connection that is accepted and not served counts',
+        _CALLERS,
+        '        counts[CallerActivity.STARTING] += self._accepted\n',
+        '',
+        _SEQUENCE_TESTS,
+    ),
+    Mutant(
+        'shutdown: the first request of a new caller is waited for',
+        _CALLERS,
+        'return idle and _loop_time() >= self._request_expected_until',
+        'return idle',
+        _SEQUENCE_TESTS,
+    ),
+    Mutant(
+        'shutdown: idle transactions are rolled back after a while',
+        _SEQUENCE,
+        '            if caller.activity is CallerActivity.TRANSACTION:\n',
+        '            if False:\n',
+        _SEQUENCE_TESTS,
+    ),
+    Mutant(
+        'shutdown: answers are sent before their connection counts as ended',
+        _PLATFORM_CALLERS,
+        '            await self._writer.wait_closed()\n',
+        '            pass\n',
+        _CALLER_TESTS,
+    ),
+    Mutant(
+        'shutdown: callers who wait in the backlog are accepted',
+        _PLATFORM_CALLERS,
+        '        for accepted in _accept_waiting(self._socket):\n',
+        '        for accepted in ():\n',
+        _CALLER_TESTS,
+    ),
+    Mutant(
+        'shutdown: a transaction begins only if it has time',
+        _DIRECT / 'session.py',
+        'refusal = refusal_of_leaving(self._context.transactions_until())',
+        'refusal = None',
+        f'{_TESTS}/test_leaving.py',
+    ),
+)
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/table.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/table.py
@@ -11,6 +11,7 @@
 from cowslipfork_lab.mutants.mutant import Mutant
 from cowslipfork_lab.mutants.path_table import PATH_MUTANTS
 from cowslipfork_lab.mutants.sharing_table import SHARING_MUTANTS
+from cowslipfork_lab.mutants.shutdown_table import SHUTDOWN_MUTANTS
 from cowslipfork_lab.mutants.store_table import STORE_MUTANTS
 from cowslipfork_lab.mutants.takeover_table import TAKEOVER_MUTANTS
 
@@ -341,4 +342,5 @@
     *STORE_MUTANTS,
     *TAKEOVER_MUTANTS,
     *SHARING_MUTANTS,
+    *SHUTDOWN_MUTANTS,
 )
