MySQL node: callers accepted as draining begins are waited for

A caller whose connection was accepted just before the socket closed was not among those that draining waited for. Once the others had ended, the end of the drain cancelled its statement.

Cause: draining took a list of the connections once and never looked again.

Evidence: test_a_caller_accepted_as_draining_began_is_answered failed before (the drain was done while the caller's statement ran).

Change: a connection that is accepted while the node drains is told to leave at its next statement boundary, and draining ends when no connection is left, accepted or served, or after the limit of the configuration.

--- a/packages/cowslipfork-proxy/src/cowslipfork_proxy/callers/server.py
+++ b/packages/cowslipfork-proxy/src/cowslipfork_proxy/callers/server.py
@@ -86,6 +86,11 @@
         self._control = LocalControl()
         self._numbers = count(1)
         self._connections: dict[CallerConnection, asyncio.Task[None]] = {}
+        #: Connections that were accepted and are not served yet.
+        self._accepted = 0
+        self._draining = False
+        #: Set whenever a connection has ended.
+        self._ended = asyncio.Event()
         self._server: asyncio.Server | None = None
         self._tls = _context(settings)
 
@@ -115,10 +120,7 @@
         """Starts to accept callers."""
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            lambda: asyncio.StreamReaderProtocol(
-                CallerReader(),
-                self._accepted,
-            ),
+            self._make_protocol,
             self._settings.host,
             self._settings.port,
             backlog=_BACKLOG,
@@ -131,13 +133,14 @@
         rest is cut after the limit that the configuration sets.
         """
         self._stop_accepting()
+        self._draining = True
         for connection in tuple(self._connections):
             connection.leave_when_idle()
-        tasks = tuple(self._connections.values())
-        if tasks:
-            limit = self._configuration().limits.drain
-            _, cut = await asyncio.wait(tasks, timeout=limit)
-            _log.info('callers drained', extra={'cut': len(cut)})
+        limit = self._configuration().limits.drain
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(limit):
+                await self._all_ended()
+        _log.info('callers drained', extra={'cut': self.callers})
         await self.close()
 
     async def close(self) -> None:
@@ -152,7 +155,28 @@
         if self._server is not None:
             self._server.close()
 
-    async def _accepted(
+    async def _all_ended(self) -> None:
+        """Waits for all connections, also those that are not served yet."""
+        while self._accepted or self._connections:
+            self._ended.clear()
+            await self._ended.wait()
+
+    def _make_protocol(self) -> asyncio.StreamReaderProtocol:
+        self._accepted += 1
+        return asyncio.StreamReaderProtocol(CallerReader(), self._serve)
+
+    async def _serve(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        self._accepted -= 1
+        try:
+            await self._serve_connection(reader, writer)
+        finally:
+            self._ended.set()
+
+    async def _serve_connection(
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
@@ -171,12 +195,14 @@
                 connection.stream.write_last(make_error(failure), sequence=0)
                 return
             self._connections[connection] = task
+            if self._draining:
+                connection.leave_when_idle()
             try:
-                await self._serve(connection)
+                await self._serve_until_closed(connection)
             finally:
                 self._connections.pop(connection)
 
-    async def _serve(self, connection: CallerConnection) -> None:
+    async def _serve_until_closed(self, connection: CallerConnection) -> None:
         try:
             await connection.serve()
         except (ConnectionError, asyncio.CancelledError):
--- a/packages/cowslipfork-proxy/tests/callers/test_drain.py
+++ b/packages/cowslipfork-proxy/tests/callers/test_drain.py
@@ -43,6 +43,39 @@
     assert run.statements == ['SELECT a FROM t']
 
 
+async def test_a_caller_accepted_as_draining_began_is_answered(
+    server,
+    run,
+    monkeypatch,
+):
+    """Guards against an end that forgets a caller who came meanwhile."""
+    started, released = hold(run, 'SELECT a FROM t')
+    later_started, later_released = hold(run, 'SELECT b FROM t')
+    # The connection is open before the listening socket closes.
+    monkeypatch.setattr(server, '_stop_accepting', lambda: None)
+    async with asyncmy_connection(server) as connection:
+        query = asyncio.ensure_future(
+            connection.cursor().execute('SELECT a FROM t')
+        )
+        await started.wait()
+        drain = asyncio.ensure_future(server.drain())
+        await asyncio.sleep(0)
+        async with asyncmy_connection(server) as later:
+            cursor = later.cursor()
+            later_query = asyncio.ensure_future(
+                cursor.execute('SELECT b FROM t')
+            )
+            await later_started.wait()
+            released.set()
+            await query
+            await asyncio.sleep(0.05)
+            assert not drain.done()
+            later_released.set()
+            await later_query
+            assert await cursor.fetchall() == ((1,), (2,))
+        await drain
+
+
 async def test_an_idle_caller_reads_that_its_statement_was_not_run(
     server,
     run,
