--- a/packages/cowslipfork-direct/src/cowslipfork_direct/connected_callers.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/connected_callers.py
@@ -15,7 +15,7 @@
 from collections.abc import Awaitable, Callable, Collection, Iterator
 from contextlib import contextmanager
 from enum import Enum, unique
-from typing import Final
+from typing import Final, TypeVar
 
 from cowslipfork_direct.answers import SessionState
 from cowslipfork_direct.session import Session
@@ -32,6 +32,8 @@
 #: Seconds for which a further request is expected after an answer.
 NEXT_REQUEST_WAIT: Final = 0.1
 
+_T = TypeVar('_T')
+
 
 @unique
 class CallerActivity(Enum):
@@ -74,6 +76,9 @@
         self._session: Session | None = None
         self._serving_request = False
         self._request_expected_until = _loop_time() + FIRST_REQUEST_WAIT
+        self._answer_by = math.inf
+        #: Ends what is served if it takes too long; None between requests.
+        self._answer_limit: asyncio.Timeout | None = None
 
     @property
     def idle(self) -> bool:
@@ -121,6 +126,32 @@
             self._expect_request(NEXT_REQUEST_WAIT)
             await self._session.abort(cause)
 
+    def limit_answers(self, answer_by: float) -> None:
+        """Sets the loop time by which each request must be answered."""
+        self._answer_by = answer_by
+        if self._answer_limit is not None:
+            self._answer_limit.reschedule(answer_by)
+
+    async def answer_in_time(self, answer: Awaitable[_T]) -> _T | None:
+        """Waits for an answer; None if the limit is reached before.
+
+        Args:
+            answer: what is waited for; it is cancelled at the limit.
+        """
+        limit = asyncio.timeout_at(
+            None if math.isinf(self._answer_by) else self._answer_by
+        )
+        try:
+            async with limit:
+                self._answer_limit = limit
+                return await answer
+        except TimeoutError:
+            if not limit.expired():
+                raise
+            return None
+        finally:
+            self._answer_limit = None
+
     def close(self) -> None:
         """Closes the connection."""
         self._close()
@@ -189,6 +220,7 @@
         #: Connections that were accepted and are not served yet.
         self._accepted = 0
         self._last_accepted_at = -math.inf
+        self._answer_by = math.inf
 
     @property
     def connected(self) -> Collection[ConnectedCaller]:
@@ -206,6 +238,16 @@
         counts[CallerActivity.STARTING] += self._accepted
         return counts
 
+    def limit_answers(self, answer_by: float) -> None:
+        """Has all requests, also of new connections, answered in time.
+
+        Args:
+            answer_by: loop time by which each request must be answered.
+        """
+        self._answer_by = answer_by
+        for caller in self._connected:
+            caller.limit_answers(answer_by)
+
     def count_accepted(self) -> None:
         """Counts a connection that ``accepted_connection_of`` will serve."""
         self._accepted += 1
@@ -222,6 +264,7 @@
     def connection_of(self, caller: ConnectedCaller) -> Iterator[None]:
         """Counts a caller as connected during the block."""
         self._connected.add(caller)
+        caller.limit_answers(self._answer_by)
         try:
             yield
         finally:
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/session.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/session.py
@@ -9,7 +9,7 @@
 from typing import Final, Protocol
 
 from cowslipfork.ids import Mark, WorkspaceName
-from cowslipfork.outcomes import Done, NotRun, Reason
+from cowslipfork.outcomes import Done, NotRun, Reason, Unknown
 from cowslipfork_direct.answers import (
     ACCEPTED,
     DirectOutcome,
@@ -77,6 +77,11 @@
     Reason.DRAINING, LEAVING_RETRY_MS, 'the node is leaving'
 )
 
+#: What a caller is told whose statement a leaving node has not finished.
+ABANDONED: Final = Unknown(
+    None, detail='the node is leaving', reason=Reason.DEADLINE
+)
+
 #: Why the key of a caller is refused, as opposed to a statement of it.
 _KEY_REFUSALS: Final = frozenset((Reason.UNKNOWN_KEY, Reason.NOT_CURRENT))
 
@@ -214,6 +219,10 @@
             self._abort_cause = cause
             await self._fail_transaction()
 
+    def abandon(self) -> None:
+        """Notes that a statement was cancelled, which fails a transaction."""
+        self._transaction_failed = self._transaction is not None
+
     async def close(self) -> None:
         """Ends the session; an open transaction is rolled back."""
         await self._end_transaction()
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/shutdown/sequence.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/shutdown/sequence.py
@@ -58,6 +58,7 @@
     async def run(self) -> None:
         """Serves until nothing is left or the time is over."""
         loop = asyncio.get_running_loop()
+        self._callers.limit_answers(self._schedule.abandon_at)
         while True:
             workload = self._workload()
             step = next_step(self._schedule, workload, loop.time())
--- a/packages/cowslipfork-direct/tests/test_leaving.py
+++ b/packages/cowslipfork-direct/tests/test_leaving.py
@@ -7,6 +7,7 @@
 from direct_fakes.world import AGED, FRESH, run, statement, world
 
 from cowslipfork.outcomes import Done, NotRun, Reason, Unknown
+from cowslipfork_direct.answers import SessionState
 from cowslipfork_direct.session import MIN_TIME_LEFT
 
 #: Seconds until everything must be answered.
@@ -80,6 +81,26 @@
     assert isinstance(read, Done)
 
 
+def test_a_cancelled_statement_fails_its_transaction():
+    """Guards against a transaction that goes on without one of its writes."""
+
+    async def main():
+        async with world(nodes=1) as cluster:
+            session = await cluster.session(FRESH)
+            await session.run(statement('BEGIN'))
+            for server in cluster.servers.values():
+                server.service_time = 5
+            with pytest.raises(TimeoutError):
+                async with asyncio.timeout(0.1):
+                    await session.run(statement('WRITE a'))
+            session.abandon()
+            return session.state, await session.run(statement('COMMIT'))
+
+    state, outcome = run(main())
+    assert state is SessionState.FAILED_TRANSACTION
+    assert isinstance(outcome, NotRun)
+
+
 @pytest.mark.parametrize('silent', ['store', 'endpoint'])
 def test_leaving_ends_in_time(silent):
     """Guards against a stop that a store or an endpoint holds up."""
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/shutdown_table.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/shutdown_table.py
@@ -80,6 +80,21 @@
         '            if False:\n',
         _SEQUENCE_TESTS,
     ),
+    Mutant(
+        'shutdown: statements that still run are answered before the end',
+        _SEQUENCE,
+        '        self._callers.limit_answers(self._schedule.abandon_at)\n',
+        '',
+        '-c platform/pyproject.toml platform/tests/test_planned_stop.py'
+        ' -k older_than_the_stop',
+    ),
+    Mutant(
+        'shutdown: a request that is served can be limited',
+        _CALLERS,
+        '            self._answer_limit.reschedule(answer_by)\n',
+        '            pass\n',
+        _CALLER_TESTS,
+    ),
     Mutant(
         'shutdown: answers are sent before their connection counts as ended',
         _PLATFORM_CALLERS,
