--- a/packages/cowslipfork-direct/src/cowslipfork_direct/era_settlement.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/era_settlement.py
@@ -29,6 +29,7 @@
 )
 from cowslipfork_direct.clock import boot_time
 from cowslipfork_direct.decoding import decode_json
+from cowslipfork_direct.newest_changes import NewestChanges
 from cowslipfork_direct.store_era import ONLY_ERA, EraTracker
 from cowslipfork_direct.store_watcher import Subscription
 
@@ -98,6 +99,7 @@
         self._revision = 0
         self._first_seen: StoreEra | None = None
         self._since: float | None = None
+        self._changes = NewestChanges()
         self._settled_event = asyncio.Event()
         eras.listen(self._start_era)
 
@@ -176,9 +178,13 @@
             self._first_seen = ended
         self._since = boot_time()
         self._revision = 0
+        self._changes.clear()
 
     def _apply_events(self, events: Sequence[Event]) -> None:
-        event = events[-1]
+        for event in filter(self._changes.admit, events[-1:]):
+            self._apply_event(event)
+
+    def _apply_event(self, event: Event) -> None:
         self._revision = event.revision
         if event.content is None:
             return
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/departure_cache.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/departure_cache.py
@@ -11,6 +11,7 @@
 from cowslipfork.ids import EndpointId, GroupName
 from cowslipfork.store import Event
 from cowslipfork_direct.decoding import decode_json
+from cowslipfork_direct.newest_changes import NewestChanges
 from cowslipfork_direct.store_watcher import Subscription
 from cowslipfork_direct.takeover.records import (
     DEPARTURES_PREFIX,
@@ -36,6 +37,7 @@
         self._stored: dict[GroupName, Mapping[EndpointId, Departure]] = {}
         self._revisions: dict[GroupName, int] = defaultdict(int)
         self._settled = True
+        self._changes = NewestChanges()
 
     def known(self, group: GroupName) -> Mapping[EndpointId, Departure]:
         """Returns the departures of a group by endpoint."""
@@ -56,6 +58,7 @@
     def start_era(self) -> None:
         """Forgets revisions, which mean nothing in an older copy."""
         self._settled = False
+        self._changes.clear()
         self._revisions.clear()
         self._stored.clear()
 
@@ -64,8 +67,8 @@
         self._settled = True
 
     def apply_events(self, events: Sequence[Event]) -> None:
-        """Applies changes read from the store by a watch or a list."""
-        for event in events:
+        """Applies changes that a watch, a list or an answer has told of."""
+        for event in filter(self._changes.admit, events):
             self._apply(event)
 
     def _apply(self, event: Event) -> None:
@@ -74,8 +77,6 @@
             self._revisions.pop(group, None)
             self._replace(group, {})
             return
-        if event.revision < self._revisions[group]:
-            return
         self._revisions[group] = event.revision
         decoded = decode_json(event.content, Departures)
         if decoded.is_error():
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/takeover_cache.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/takeover_cache.py
@@ -11,6 +11,7 @@
 from cowslipfork.store import Event
 from cowslipfork_direct.clock import boot_time
 from cowslipfork_direct.decoding import decode_json
+from cowslipfork_direct.newest_changes import NewestChanges
 from cowslipfork_direct.store_watcher import Subscription
 from cowslipfork_direct.takeover.records import (
     DUTY_KEY,
@@ -71,6 +72,7 @@
             dict,
         )
         self._settled = True
+        self._changes = NewestChanges()
         self._change_event = asyncio.Event()
 
     @property
@@ -147,6 +149,7 @@
     def start_era(self) -> None:
         """Forgets what only the store's lost records prove."""
         self._settled = False
+        self._changes.clear()
         self._duty = None
         self._duty_revision = 0
         self._unreadable.clear()
@@ -171,8 +174,8 @@
         )
 
     def apply_events(self, events: Sequence[Event]) -> None:
-        """Applies changes read from the store by a watch or a list."""
-        for event in events:
+        """Applies changes that a watch, a list or an answer has told of."""
+        for event in filter(self._changes.admit, events):
             self._apply_event(event)
         self._notify_change()
 
