--- /dev/null
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/connection_reset.py
@@ -0,0 +1,41 @@
+"""Connections whose last bytes must not arrive once they are given up.
+
+A connection that is closed in good order goes on to deliver what it has sent,
+after a partition of the network too. One that is reset delivers nothing more.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+from contextlib import suppress
+from typing import Final
+
+#: Value of ``SO_LINGER``: wait for nothing, so that closing resets.
+_NO_LINGER: Final = struct.pack('ii', 1, 0)
+
+
+def reset_at_end(writer: asyncio.StreamWriter) -> None:
+    """Has a connection reset when it ends, if its process is killed as well.
+
+    Args:
+        writer: writing end of the connection.
+    """
+    connection = writer.get_extra_info('socket')
+    if connection is not None:
+        # The option can't be set on a connection that has ended already.
+        with suppress(OSError):
+            connection.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER
+            )
+
+
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Resets a connection at once.
+
+    Args:
+        writer: writing end of the connection.
+    """
+    reset_at_end(writer)
+    writer.transport.abort()
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/http_connection.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/http_connection.py
@@ -10,6 +10,7 @@
 import h11
 
 from cowslipfork.errors import CowslipforkError
+from cowslipfork_direct.connection_reset import reset, reset_at_end
 
 #: Most bytes read from a socket at a time.
 _READ_SIZE: Final = 65_536
@@ -45,12 +46,15 @@
         path: path and query.
         body: its body; empty for none.
         headers: additional headers.
+        reset_at_end: whether the end of the process resets the connection too,
+            so that the request can't arrive after that.
     """
 
     method: str
     path: str
     body: bytes = b''
     headers: tuple[tuple[str, str], ...] = ()
+    reset_at_end: bool = False
 
 
 class HttpConnection:
@@ -105,8 +109,8 @@
         self._writer.close()
 
     def abort(self) -> None:
-        """Closes at once and discards bytes that are not sent yet."""
-        self._writer.transport.abort()
+        """Resets the connection: what is still on its way never arrives."""
+        reset(self._writer)
 
     async def exchange(
         self,
@@ -134,6 +138,8 @@
                 *request.headers,
             ],
         )
+        if request.reset_at_end:
+            reset_at_end(self._writer)
         events = (head, h11.Data(data=request.body), h11.EndOfMessage())
         self._received = 0
         self._writer.write(
--- a/packages/cowslipfork-direct/tests/test_http_client.py
+++ b/packages/cowslipfork-direct/tests/test_http_client.py
@@ -260,3 +260,25 @@
             await client.request(HttpRequest('GET', '/b'), within(1), fail)
         assert await ask(client, 'c') == 'c'
         assert server.connections == 2
+
+
+async def test_a_request_that_is_given_up_never_arrives():
+    """Guards against a call that a partition holds up and delivers later."""
+    end = asyncio.get_running_loop().create_future()
+
+    async def serve(reader, writer):
+        try:
+            while await reader.read(1000):
+                pass
+            end.set_result(None)
+        except ConnectionResetError as error:
+            end.set_result(error)
+        writer.close()
+
+    listener = await asyncio.start_server(serve, '127.0.0.1', 0)
+    port = listener.sockets[0].getsockname()[1]
+    client = HttpClient(Address('127.0.0.1', port))
+    with pytest.raises(HttpResponseLost):
+        await client.request(HttpRequest('GET', '/a'), within(0.1), repr)
+    assert isinstance(await end, ConnectionResetError)
+    listener.close()
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/takeover_table.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/takeover_table.py
@@ -15,6 +15,10 @@
 _OUTAGE: Final = f'{_TESTS}/test_store_outage.py'
 _LOST_PROCESSES: Final = f'{_TESTS}/test_lost_processes.py'
 _DEMOTED: Final = f'{_TESTS}/test_demoted_primary.py'
+_LATE_WRITES: Final = f'{_TESTS}/test_late_own_writes.py'
+_LOST_ORDERS: Final = (
+    '-c platform/pyproject.toml platform/tests/test_lost_orders.py'
+)
 _DIRECT: Final = _TAKEOVER.parent
 
 TAKEOVER_MUTANTS: Final = (
@@ -189,4 +193,32 @@
         'return others if outdated else len(self._by_id) // 2',
         'packages/cowslipfork-direct/tests/test_group_endpoints.py',
     ),
+    Mutant(
+        'takeover: an older change of the duty replaces no newer one',
+        _TAKEOVER / 'takeover_cache.py',
+        'for event in filter(self._changes.admit, events):',
+        'for event in events:',
+        _LATE_WRITES,
+    ),
+    Mutant(
+        'takeover: an older removal leaves departures known',
+        _TAKEOVER / 'departure_cache.py',
+        'for event in filter(self._changes.admit, events):',
+        'for event in events:',
+        _LATE_WRITES,
+    ),
+    Mutant(
+        'takeover: a call that is given up never arrives',
+        _DIRECT / 'connection_reset.py',
+        '    reset_at_end(writer)\n',
+        '',
+        'packages/cowslipfork-direct/tests/test_http_client.py',
+    ),
+    Mutant(
+        'takeover: an order of a process that ends never arrives',
+        PurePosixPath('platform/src/cowslipfork_platform/promotion.py'),
+        'reset_at_end=True',
+        'reset_at_end=False',
+        _LOST_ORDERS,
+    ),
 )
