Callers: one connection and all of them in two modules; the first wait is kept

Cause: the wait of 0.5 s for the first statement of a new session, which a stopping node grants, was shortened to 0.1 s when the answer to START had been served. Found by reading the diff; the test in virtual time began the session outside of the block that serves START, and the one with real processes paused for 0.08 s. Both now do what callers do (START is served, a pause of 0.3 s).

--- a/packages/cowslipfork-direct/src/cowslipfork_direct/node.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/node.py
@@ -24,6 +24,7 @@
 )
 from cowslipfork_direct.group import Group
 from cowslipfork_direct.group_services import GroupServices
+from cowslipfork_direct.leaving import refusal_of_leaving
 from cowslipfork_direct.long_lived import keep_running
 from cowslipfork_direct.metrics import Metrics
 from cowslipfork_direct.node_gauges import (
@@ -49,11 +50,7 @@
     Route,
     RoutingTable,
 )
-from cowslipfork_direct.session import (
-    Session,
-    SessionContext,
-    refusal_of_leaving,
-)
+from cowslipfork_direct.session import Session, SessionContext
 from cowslipfork_direct.store_watcher import StoreWatcher
 from cowslipfork_direct.subscriptions import (
     configuration_subscription,
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/session.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/session.py
@@ -9,7 +9,7 @@
 from typing import Final, Protocol
 
 from cowslipfork.ids import Mark, WorkspaceName
-from cowslipfork.outcomes import Done, NotRun, Reason, Unknown
+from cowslipfork.outcomes import Done, NotRun, Reason
 from cowslipfork_direct.answers import (
     ACCEPTED,
     DirectOutcome,
@@ -23,6 +23,7 @@
     ExecutedTransaction,
     StatementExecutor,
 )
+from cowslipfork_direct.leaving import refusal_of_leaving
 from cowslipfork_direct.metrics import Metrics
 from cowslipfork_direct.routes import DatabaseName, KeyDigest, Route
 from cowslipfork_direct.statements import Prepared, Statement, Verb
@@ -64,24 +65,6 @@
 #: Detail of the refusal after a transaction whose key another workspace has.
 KEY_MOVED: Final = 'the key of the transaction belongs to another workspace'
 
-#: Least seconds until the node stops answering with which a statement is
-#: accepted.
-MIN_TIME_LEFT: Final = 0.3
-
-#: Milliseconds after which a caller that a leaving node refuses should retry,
-#: at another node.
-LEAVING_RETRY_MS: Final = 50
-
-#: What a caller is told whom a leaving node serves no more.
-LEAVING: Final = NotRun(
-    Reason.DRAINING, LEAVING_RETRY_MS, 'the node is leaving'
-)
-
-#: What a caller is told whose statement a leaving node has not finished.
-ABANDONED: Final = Unknown(
-    None, detail='the node is leaving', reason=Reason.DEADLINE
-)
-
 #: Why the key of a caller is refused, as opposed to a statement of it.
 _KEY_REFUSALS: Final = frozenset((Reason.UNKNOWN_KEY, Reason.NOT_CURRENT))
 
@@ -520,19 +503,5 @@
         return NotRun(Reason.UNKNOWN_GROUP, detail=detail)
 
 
-def refusal_of_leaving(answer_by: float) -> NotRun | None:
-    """Returns the refusal of work that could not be answered in time.
-
-    Args:
-        answer_by: loop time by which everything must be answered.
-
-    Returns:
-        The refusal; None if there is time enough.
-    """
-    if asyncio.get_running_loop().time() + MIN_TIME_LEFT < answer_by:
-        return None
-    return LEAVING
-
-
 def _bad_request(detail: str) -> NotRun:
     return NotRun(Reason.BAD_REQUEST, detail=detail)
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/shutdown/sequence.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/shutdown/sequence.py
@@ -7,11 +7,11 @@
 from collections.abc import Callable
 from typing import Final
 
-from cowslipfork_direct.connected_callers import (
+from cowslipfork_direct.connected_caller import (
     CallerActivity,
     ConnectedCaller,
-    ConnectedCallers,
 )
+from cowslipfork_direct.connected_callers import ConnectedCallers
 from cowslipfork_direct.shutdown.decision import (
     ShutdownStep,
     Workload,
@@ -72,13 +72,13 @@
     def _workload(self) -> Workload:
         counts = self._callers.count_by_activity()
         return Workload(
-            self._accepting,
-            counts[CallerActivity.STARTING],
-            counts[CallerActivity.REQUEST],
-            counts[CallerActivity.TRANSACTION],
-            counts[CallerActivity.IDLE],
-            self._forwarded(),
-            self._callers.last_accepted_at,
+            accepting=self._accepting,
+            starting=counts[CallerActivity.STARTING],
+            requests=counts[CallerActivity.REQUEST],
+            transactions=counts[CallerActivity.TRANSACTION],
+            idle=counts[CallerActivity.IDLE],
+            forwarded=self._forwarded(),
+            last_accepted_at=self._callers.last_accepted_at,
         )
 
     def _take(self, step: ShutdownStep, workload: Workload) -> None:
--- a/packages/cowslipfork-direct/tests/fakes/direct_fakes/keyed_callers.py
+++ b/packages/cowslipfork-direct/tests/fakes/direct_fakes/keyed_callers.py
@@ -3,7 +3,7 @@
 from contextlib import asynccontextmanager
 
 from cowslipfork.outcomes import NotRun
-from cowslipfork_direct.connected_callers import ConnectedCaller
+from cowslipfork_direct.connected_caller import ConnectedCaller
 from direct_fakes.world import FRESH, statement
 
 #: Keys as the configurations of these tests have them, by workspace.
--- a/packages/cowslipfork-direct/tests/shutdown/test_decision_search.py
+++ b/packages/cowslipfork-direct/tests/shutdown/test_decision_search.py
@@ -13,8 +13,8 @@
 
 import pytest
 
-from cowslipfork_direct.connected_callers import CallerActivity
-from cowslipfork_direct.session import MIN_TIME_LEFT
+from cowslipfork_direct.connected_caller import CallerActivity
+from cowslipfork_direct.leaving import MIN_TIME_LEFT
 from cowslipfork_direct.shutdown import ShutdownSchedule, Workload, next_step
 
 #: Callers that are connected at the same moment.
--- a/packages/cowslipfork-direct/tests/shutdown/test_sequence.py
+++ b/packages/cowslipfork-direct/tests/shutdown/test_sequence.py
@@ -5,12 +5,12 @@
 from virtual_time import now, run_virtual
 
 from cowslipfork_direct.answers import SessionState
-from cowslipfork_direct.connected_callers import (
+from cowslipfork_direct.connected_caller import (
     FIRST_REQUEST_WAIT,
     NEXT_REQUEST_WAIT,
     ConnectedCaller,
-    ConnectedCallers,
 )
+from cowslipfork_direct.connected_callers import ConnectedCallers
 from cowslipfork_direct.shutdown import Shutdown, ShutdownSchedule
 from cowslipfork_direct.shutdown.schedule import READINESS_PROPAGATION
 
@@ -53,7 +53,8 @@
     async def connect(self, callers, *, busy_until=0.0):
         """Serves the caller until its connection is closed."""
         with callers.connection_of(self._caller):
-            self._caller.start_session(self.session)
+            with self._caller.serving():
+                self._caller.start_session(self.session)
             if busy_until > now():
                 with self._caller.serving():
                     answer = asyncio.sleep(busy_until - now(), result=True)
--- a/packages/cowslipfork-direct/tests/test_leaving.py
+++ b/packages/cowslipfork-direct/tests/test_leaving.py
@@ -8,7 +8,7 @@
 
 from cowslipfork.outcomes import Done, NotRun, Reason, Unknown
 from cowslipfork_direct.answers import SessionState
-from cowslipfork_direct.session import MIN_TIME_LEFT
+from cowslipfork_direct.leaving import MIN_TIME_LEFT
 
 #: Seconds until everything must be answered.
 LEFT = 2.0
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/direct_table.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/direct_table.py
@@ -405,7 +405,7 @@
     ),
     Mutant(
         'direct: a leaving node accepts nothing that comes too late',
-        _DIRECT / 'session.py',
+        _DIRECT / 'leaving.py',
         'if asyncio.get_running_loop().time() + MIN_TIME_LEFT < answer_by:',
         'if answer_by:',
         f'{_TESTS}/test_leaving.py',
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/shutdown_table.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/shutdown_table.py
@@ -12,6 +12,7 @@
 )
 _DECISION: Final = _DIRECT / 'shutdown/decision.py'
 _SEQUENCE: Final = _DIRECT / 'shutdown/sequence.py'
+_CALLER: Final = _DIRECT / 'connected_caller.py'
 _CALLERS: Final = _DIRECT / 'connected_callers.py'
 _PLATFORM_CALLERS: Final = PurePosixPath(
     'platform/src/cowslipfork_platform/callers.py'
@@ -68,7 +69,7 @@
     ),
     Mutant(
         'shutdown: the first request of a new caller is waited for',
-        _CALLERS,
+        _CALLER,
         'return idle and _loop_time() >= self._request_expected_until',
         'return idle',
         _SEQUENCE_TESTS,
@@ -86,11 +87,11 @@
         '        self._callers.limit_answers(self._schedule.abandon_at)\n',
         '',
         '-c platform/pyproject.toml platform/tests/test_planned_stop.py'
-        ' -k older_than_the_stop',
+        ' -kolder_than_the_stop',
     ),
     Mutant(
         'shutdown: a request that is served can be limited',
-        _CALLERS,
+        _CALLER,
         '            self._answer_limit.reschedule(answer_by)\n',
         '            pass\n',
         _CALLER_TESTS,
