Callers: the listener is no matter of the platform

Change: CallerListener in cowslipfork-direct accepts callers; platform/ keeps the statement protocol. The count of accepted connections stands beside its only user, with tests of its own.

Measured: the tests of the listener, the stop and the callers pass, those with real processes too.

--- a/packages/cowslipfork-direct/src/cowslipfork_direct/connected_callers.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/connected_callers.py
@@ -68,16 +68,13 @@
             caller.limit_answers(answer_by)
 
     def count_accepted(self) -> None:
-        """Counts a connection that ``accepted_connection_of`` will serve."""
+        """Counts a connection that was accepted and is not served yet."""
         self._accepted += 1
         self._last_accepted_at = asyncio.get_running_loop().time()
 
-    @contextmanager
-    def accepted_connection_of(self, caller: ConnectedCaller) -> Iterator[None]:
-        """Serves a connection that ``count_accepted`` has counted."""
+    def count_served(self) -> None:
+        """Counts an accepted connection no more, since it is served now."""
         self._accepted -= 1
-        with self.connection_of(caller):
-            yield
 
     @contextmanager
     def connection_of(self, caller: ConnectedCaller) -> Iterator[None]:
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/shutdown_table.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/shutdown_table.py
@@ -105,10 +105,10 @@
     ),
     Mutant(
         'shutdown: callers who wait in the backlog are accepted',
-        _PLATFORM_CALLERS,
+        _DIRECT / 'caller_listener.py',
         '        for accepted in _accept_waiting(self._socket):\n',
         '        for accepted in ():\n',
-        _CALLER_TESTS,
+        f'{_TESTS}/test_caller_listener.py',
     ),
     Mutant(
         'shutdown: a transaction begins only if it has time',
