Shutdown: tests for what had none, and one wait less

Change: CarrierService.roll_back takes the place of drain, whose wait nobody needed any more; its tests look at open_work instead, with the same figures. New tests: replies that wait to be sent, a rollback that fails, a statement that crosses a rollback, the limit for later connections, a connection of the MySQL node that is not served yet, an older record of an era. Each has a row in make mutants. A parameter of the refusal of a leaving node says what it means for transactions too.

--- a/packages/cowslipfork-direct/src/cowslipfork_direct/connection_reset.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/connection_reset.py
@@ -22,13 +22,11 @@
     Args:
         writer: writing end of the connection.
     """
-    connection = writer.get_extra_info('socket')
-    if connection is not None:
+    opened = writer.get_extra_info('socket')
+    if opened is not None:
         # The option can't be set on a connection that has ended already.
         with suppress(OSError):
-            connection.setsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER
-            )
+            opened.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
 
 
 def reset(writer: asyncio.StreamWriter) -> None:
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/forwarding/carrier_service.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/forwarding/carrier_service.py
@@ -5,7 +5,7 @@
 import asyncio
 import logging
 from collections.abc import Callable, Coroutine, Iterator
-from contextlib import contextmanager, suppress
+from contextlib import contextmanager
 from typing import Any, Final
 
 from cowslipfork.ids import GroupName, TransactionId
@@ -62,8 +62,6 @@
         self._unwatch: dict[PeerSession, Callable[[], None]] = {}
         self._running = 0
         self._leaving = False
-        #: Set whenever some work has ended.
-        self._work_ended = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
 
     @property
@@ -76,11 +74,6 @@
         """Number of statements that run and of open transactions."""
         return self._running + self.open_transactions
 
-    @property
-    def idle(self) -> bool:
-        """Whether no statement runs and no transaction is open."""
-        return not self.open_work
-
     def register(self, server: PeerServer) -> None:
         """Registers what answers the requests of other nodes.
 
@@ -100,17 +93,8 @@
         self._leaving = True
         server.announce_leaving()
 
-    async def drain(self, until: float) -> None:
-        """Waits for the work of other nodes to end.
-
-        Args:
-            until: loop time at which open transactions are rolled back.
-        """
-        with suppress(TimeoutError):
-            async with asyncio.timeout_at(until):
-                while not self.idle:
-                    self._work_ended.clear()
-                    await self._work_ended.wait()
+    async def roll_back(self) -> None:
+        """Rolls back all open transactions."""
         remaining = self.open_transactions
         await asyncio.gather(
             *(self._close(session) for session in tuple(self._transactions))
@@ -191,7 +175,6 @@
         known.pop(transaction, None)
         if not known:
             self._stop_watching(session)
-        self._work_ended.set()
 
     def _stop_watching(self, session: PeerSession) -> None:
         self._transactions.pop(session, None)
@@ -203,7 +186,6 @@
         """Rolls back the open transactions of a link."""
         transactions = self._transactions.get(session, {})
         self._stop_watching(session)
-        self._work_ended.set()
         if transactions:
             log.info(
                 'forwarded_rolled_back',
@@ -225,7 +207,6 @@
             yield
         finally:
             self._running -= 1
-            self._work_ended.set()
 
 
 def _no_carrier(detail: str) -> NotRun:
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/leaving.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/leaving.py
@@ -7,7 +7,7 @@
 
 from cowslipfork.outcomes import NotRun, Reason, Unknown
 
-#: Least seconds until the node stops answering with which a statement is
+#: Least seconds before its end with which a statement or a transaction is
 #: accepted.
 MIN_TIME_LEFT: Final = 0.3
 
@@ -26,15 +26,15 @@
 )
 
 
-def refusal_of_leaving(answer_by: float) -> NotRun | None:
-    """Returns the refusal of work that could not be answered in time.
+def refusal_of_leaving(until: float) -> NotRun | None:
+    """Returns the refusal of work for which too little time is left.
 
     Args:
-        answer_by: loop time by which everything must be answered.
+        until: loop time at which the work would be cut off.
 
     Returns:
         The refusal; None if there is time enough.
     """
-    if asyncio.get_running_loop().time() + MIN_TIME_LEFT < answer_by:
+    if asyncio.get_running_loop().time() + MIN_TIME_LEFT < until:
         return None
     return LEAVING
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/newest_changes.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/newest_changes.py
@@ -2,6 +2,8 @@
 
 A node learns of its own write by the answer to it, and of every write by its
 watch. The answer may arrive after the watch has delivered a later change.
+Unlike ``KnownKeys`` of the watch, this remembers removals: an older change of a
+removed key is no new one.
 """
 
 from __future__ import annotations
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/node.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/node.py
@@ -368,7 +368,7 @@
             log.warning('leaving_incomplete')
 
     async def _end_forwarded_work(self) -> None:
-        await self._carrier_service.drain(asyncio.get_running_loop().time())
+        await self._carrier_service.roll_back()
         await self._peer_server.flush()
 
     def relayed_addresses(self, store: Address) -> frozenset[Address]:
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/peers/server.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/peers/server.py
@@ -122,6 +122,7 @@
         """Waits until the links have sent all replies, for a short time."""
         end = asyncio.get_running_loop().time() + FLUSH_TIMEOUT
         while asyncio.get_running_loop().time() < end:
+            # Lines are written once this iteration of the loop has ended.
             await asyncio.sleep(FLUSH_POLL_INTERVAL)
             if not any(link.unsent_bytes for link in self._links):
                 return
--- a/packages/cowslipfork-direct/tests/forwarding/test_carrier_service.py
+++ b/packages/cowslipfork-direct/tests/forwarding/test_carrier_service.py
@@ -142,7 +142,7 @@
 
     nodes, host = run(main())
     assert not nodes.group.open
-    assert host.service.idle
+    assert host.service.open_work == 0
 
 
 def test_a_transaction_on_a_link_that_has_ended_is_rolled_back():
@@ -162,7 +162,7 @@
     assert host.service.open_transactions == 0
 
 
-def test_draining_finishes_what_runs():
+def test_a_leaving_carrier_counts_what_runs():
     async def main():
         nodes = Nodes()
         host = nodes.carriers[0]
@@ -173,7 +173,9 @@
         await asyncio.sleep(0.1)
         host.service.leave(host.server)
         begun = now()
-        await host.service.drain(begun + 5)
+        assert host.service.open_work == 1
+        while host.service.open_work:  # noqa: ASYNC110
+            await asyncio.sleep(0.01)
         return running.done() or await running, now() - begun, host
 
     done, waited, host = run(main())
@@ -182,17 +184,17 @@
     assert host.server.leaving
 
 
-def test_draining_rolls_transactions_back_at_its_end():
+def test_a_leaving_carrier_rolls_back_what_is_left():
     async def main():
         nodes = Nodes()
         host = nodes.carriers[0]
         await nodes.transaction('WRITE a')
         host.service.leave(host.server)
-        begun = now()
-        await host.service.drain(begun + 2)
-        return now() - begun, nodes, host
+        await asyncio.sleep(2)
+        assert host.service.open_work == 1
+        await host.service.roll_back()
+        return nodes, host
 
-    waited, nodes, host = run(main())
-    assert waited == pytest.approx(2)
+    nodes, host = run(main())
     assert not nodes.group.open
-    assert host.service.idle
+    assert host.service.open_work == 0
--- a/packages/cowslipfork-direct/tests/forwarding/test_over_links.py
+++ b/packages/cowslipfork-direct/tests/forwarding/test_over_links.py
@@ -50,7 +50,7 @@
     nodes = run_linked(main)
     assert not nodes.group.open
     assert nodes.group.log == []
-    assert nodes.services[nodes.first].idle
+    assert nodes.services[nodes.first].open_work == 0
 
 
 def test_an_idle_transaction_outlives_the_limit_of_unused_links():
@@ -84,7 +84,7 @@
     nodes = run_linked(main)
     assert not nodes.group.open
     assert nodes.group.log == []
-    assert nodes.services[nodes.first].idle
+    assert nodes.services[nodes.first].open_work == 0
 
 
 @pytest.mark.parametrize('direction', ['there', 'back', 'frozen'])
@@ -164,11 +164,10 @@
         service.leave(nodes.servers[nodes.first])
         await asyncio.sleep(0.1)
         single = await nodes.executor.run_single(request('WRITE b'))
-        draining = asyncio.create_task(service.drain(now() + 5))
         await asyncio.sleep(0.1)
-        assert not draining.done()
+        assert service.open_work == 1
         commit = await transaction.run(request('COMMIT'))
-        await draining
+        assert service.open_work == 0
         return single, commit, nodes
 
     single, commit, nodes = run_linked(main)
@@ -178,12 +177,13 @@
     assert nodes.group.log == ['WRITE b', 'WRITE a']
 
 
-def test_a_drained_carrier_aborts_what_is_left():
+def test_a_carrier_that_ends_aborts_what_is_left():
     async def main(nodes):
         transaction = await nodes.transaction('WRITE a')
         service = nodes.services[nodes.first]
         service.leave(nodes.servers[nodes.first])
-        await service.drain(now() + 1)
+        await asyncio.sleep(1)
+        await service.roll_back()
         return await transaction.run(request('COMMIT')), nodes
 
     executed, nodes = run_linked(main)
--- a/packages/cowslipfork-direct/tests/forwarding/test_remote_transaction.py
+++ b/packages/cowslipfork-direct/tests/forwarding/test_remote_transaction.py
@@ -246,7 +246,7 @@
     nodes = run(main())
     assert nodes.group.log == []
     assert not nodes.group.open
-    assert nodes.carriers[0].service.idle
+    assert nodes.carriers[0].service.open_work == 0
 
 
 def test_the_entry_node_executes_a_transaction_itself_at_last():
--- a/packages/cowslipfork-direct/tests/shutdown/test_decision_search.py
+++ b/packages/cowslipfork-direct/tests/shutdown/test_decision_search.py
@@ -219,7 +219,7 @@
 
 @pytest.mark.parametrize('forwarded', [0, 1])
 def test_no_order_of_events_cuts_off_a_request(forwarded):
-    """Guards against an end that forgets work which came meanwhile (LOST)."""
+    """Guards against an end that forgets work which came meanwhile."""
     states = list(reachable(State(forwarded=forwarded)))
     assert len(states) > 1000
     assert [state for state in states if state.cut] == []
--- a/packages/cowslipfork-direct/tests/shutdown/test_sequence.py
+++ b/packages/cowslipfork-direct/tests/shutdown/test_sequence.py
@@ -18,17 +18,20 @@
 
 
 class FakeSession:
-    def __init__(self, *, transaction, rollback_time=0.0):
+    def __init__(self, *, transaction, rollback_time=0.0, error=None):
         self.state = SessionState.IDLE
         if transaction:
             self.state = SessionState.IN_TRANSACTION
         self.aborted_at = None
         self._rollback_time = rollback_time
+        self._error = error
 
     async def abort(self, cause):
         self.aborted_at = now()
         self.state = SessionState.FAILED_TRANSACTION
         await asyncio.sleep(self._rollback_time)
+        if self._error is not None:
+            raise self._error
 
     async def close(self):
         pass
@@ -37,10 +40,8 @@
 class FakeCaller:
     """A caller with a session, which serves one request if told so."""
 
-    def __init__(self, *, transaction=False, rollback_time=0.0):
-        self.session = FakeSession(
-            transaction=transaction, rollback_time=rollback_time
-        )
+    def __init__(self, *, transaction=False, **rollback):
+        self.session = FakeSession(transaction=transaction, **rollback)
         self.closed = asyncio.Event()
         self.closed_at = None
         self.answered = False
@@ -144,8 +145,10 @@
 
 def test_a_transaction_is_aborted_after_half_of_the_grace_period():
     caller, _ = shut_down_beside(transaction=True)
-    assert caller.session.aborted_at - 1 == pytest.approx(GRACE / 2, abs=0.1)
-    assert caller.closed_at is not None
+    aborted_at = caller.session.aborted_at
+    assert aborted_at - 1 == pytest.approx(GRACE / 2, abs=0.1)
+    # A statement that is on its way learns of the rollback.
+    assert caller.closed_at >= aborted_at + NEXT_REQUEST_WAIT
 
 
 def test_a_transaction_is_not_aborted_while_its_statement_runs():
@@ -168,8 +171,16 @@
     assert seconds < GRACE / 2 + 1
 
 
+def test_a_rollback_that_fails_is_logged_and_ends_nothing(caplog):
+    """Guards against an error in one connection that others pay for."""
+    caller, seconds = shut_down_beside(transaction=True, error=OSError('gone'))
+    assert caller.closed_at is not None
+    assert seconds < GRACE / 2 + 1
+    assert 'rollback_failed' in caplog.messages
+
+
 def test_a_caller_is_answered_who_came_while_other_nodes_were_served():
-    """Guards against an end that forgets who came meanwhile (LOST)."""
+    """Guards against an end that forgets who came meanwhile."""
 
     async def main():
         async with world() as made:
@@ -203,6 +214,23 @@
     assert run_virtual(main()) == pytest.approx(FIRST_REQUEST_WAIT, abs=0.1)
 
 
+def test_the_limit_of_answers_holds_for_later_connections():
+    """Guards against a statement that outlasts its node."""
+
+    async def main():
+        callers = ConnectedCallers()
+        callers.limit_answers(2)
+        caller = FakeCaller()
+        connected = asyncio.create_task(
+            caller.connect(callers, busy_until=99.0)
+        )
+        await asyncio.sleep(3)
+        connected.cancel()
+        return caller.served_until
+
+    assert run_virtual(main()) == pytest.approx(2)
+
+
 def test_a_connection_that_is_accepted_and_not_served_yet_counts():
     """Guards against an end between accepting a caller and serving it."""
 
--- a/packages/cowslipfork-direct/tests/takeover/test_late_own_writes.py
+++ b/packages/cowslipfork-direct/tests/takeover/test_late_own_writes.py
@@ -41,8 +41,8 @@
         return swapped
 
 
-def test_a_duty_that_another_node_has_taken_gives_no_right_to_order():
-    """Guards against an order with a token lower than another's (ONE)."""
+def test_a_claimer_that_another_node_has_replaced_may_not_order():
+    """Guards against an order with a token lower than another's."""
 
     async def main():
         async with world(nodes=0) as cluster:
@@ -66,7 +66,7 @@
 
 
 @pytest.mark.parametrize('later', [LATER, Event(DUTY_KEY, None, 9)])
-def test_the_duty_is_that_of_the_latest_change(later):
+def test_the_latest_change_of_a_record_holds(later):
     cache = TakeoverCache(lambda _: None)
     cache.apply_events([later])
     cache.apply_events([OWN])
--- a/packages/cowslipfork-direct/tests/test_era_settlement.py
+++ b/packages/cowslipfork-direct/tests/test_era_settlement.py
@@ -7,12 +7,14 @@
 from direct_fakes.world import FRESH, run, statement, world
 
 from cowslipfork.outcomes import NotRun
-from cowslipfork.store import StoreEra
+from cowslipfork.store import Event, StoreEra
 from cowslipfork_direct.era_settlement import (
     ERA_KEY,
     SETTLE_TIME,
+    EraSettlement,
     SettledEra,
 )
+from cowslipfork_direct.store_era import EraTracker
 
 #: Seconds within which a primary is replaced in a settled era.
 REPLACED_WITHIN = 10
@@ -110,3 +112,20 @@
 
     record = msgspec.json.decode(run(main()).content, type=SettledEra)
     assert record.first == StoreEra(0)
+
+
+def test_an_older_record_replaces_no_newer_one():
+    """Guards against a settled era that a late answer unsettles."""
+
+    async def main():
+        eras = EraTracker()
+        settlement = EraSettlement(None, eras, None, lambda: None)
+        eras.check('list', None, StoreEra(5))
+        apply_events = settlement.subscription().on_events
+        for era, revision in ((5, 9), (4, 8)):
+            record = SettledEra(StoreEra(era), StoreEra(1), StoreEra(1))
+            content = msgspec.json.encode(record)
+            apply_events([Event(ERA_KEY, content, revision)])
+        return settlement.settled
+
+    assert run(main())
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/direct_table.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/direct_table.py
@@ -406,8 +406,8 @@
     Mutant(
         'direct: a leaving node accepts nothing that comes too late',
         _DIRECT / 'leaving.py',
-        'if asyncio.get_running_loop().time() + MIN_TIME_LEFT < answer_by:',
-        'if answer_by:',
+        'if asyncio.get_running_loop().time() + MIN_TIME_LEFT < until:',
+        'if until:',
         f'{_TESTS}/test_leaving.py',
     ),
     Mutant(
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/shutdown_table.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/shutdown_table.py
@@ -17,6 +17,10 @@
 _PLATFORM_CALLERS: Final = PurePosixPath(
     'platform/src/cowslipfork_platform/callers.py'
 )
+_PROXY_SERVER: Final = PurePosixPath(
+    'packages/cowslipfork-proxy/src/cowslipfork_proxy/callers/server.py'
+)
+_PROXY_TESTS: Final = 'packages/cowslipfork-proxy/tests/callers/test_drain.py'
 _TESTS: Final = 'packages/cowslipfork-direct/tests'
 _SEARCH: Final = f'{_TESTS}/shutdown/test_decision_search.py'
 _SEQUENCE_TESTS: Final = f'{_TESTS}/shutdown/test_sequence.py'
@@ -117,4 +121,68 @@
         'refusal = None',
         f'{_TESTS}/test_leaving.py',
     ),
+    Mutant(
+        'shutdown: replies to other nodes are sent before the end',
+        _DIRECT / 'peers/server.py',
+        'if not any(link.unsent_bytes for link in self._links):',
+        'if self._links:',
+        f'{_TESTS}/peers/test_flush.py',
+    ),
+    Mutant(
+        'shutdown: neither the store nor an endpoint holds the end up',
+        _DIRECT / 'node.py',
+        'async with asyncio.timeout_at(by):',
+        'async with asyncio.timeout_at(by + 99):',
+        f'{_TESTS}/test_leaving.py',
+    ),
+    Mutant(
+        'shutdown: a rollback that fails is logged',
+        _SEQUENCE,
+        "            log.error('rollback_failed', extra={'cause': cause})\n",
+        '',
+        _SEQUENCE_TESTS,
+    ),
+    Mutant(
+        'shutdown: a statement that crosses the rollback is answered',
+        _CALLER,
+        '            self._expect_request(NEXT_REQUEST_WAIT)\n'
+        '            await self._session.abort(cause)\n',
+        '            await self._session.abort(cause)\n',
+        _SEQUENCE_TESTS,
+    ),
+    Mutant(
+        'shutdown: the limit holds for later connections',
+        _CALLERS,
+        '            caller.limit_answers(self._answer_by)\n',
+        '            pass\n',
+        _SEQUENCE_TESTS,
+    ),
+    Mutant(
+        'shutdown: a caller whose session begins is served',
+        _PLATFORM_CALLERS,
+        '        with self.serving():\n            return await',
+        '        if True:\n            return await',
+        _CALLER_TESTS,
+    ),
+    Mutant(
+        'shutdown: a cancelled statement fails its transaction',
+        _DIRECT / 'session.py',
+        'self._transaction_failed = self._transaction is not None',
+        'pass',
+        f'{_TESTS}/test_leaving.py',
+    ),
+    Mutant(
+        'MySQL: draining waits for connections that are not served yet',
+        _PROXY_SERVER,
+        'while self._accepted or self._connections:',
+        'while self._connections:',
+        _PROXY_TESTS,
+    ),
+    Mutant(
+        'MySQL: a caller who is accepted late leaves when it is idle',
+        _PROXY_SERVER,
+        '            if self._draining:\n',
+        '            if False:\n',
+        _PROXY_TESTS,
+    ),
 )
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/takeover_table.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/takeover_table.py
@@ -194,7 +194,7 @@
         'packages/cowslipfork-direct/tests/test_group_endpoints.py',
     ),
     Mutant(
-        'takeover: an older change of the duty replaces no newer one',
+        'takeover: an older change replaces no newer record',
         _TAKEOVER / 'takeover_cache.py',
         'for event in filter(self._changes.admit, events):',
         'for event in events:',
@@ -221,4 +221,11 @@
         'reset_at_end=False',
         _LOST_ORDERS,
     ),
+    Mutant(
+        'takeover: an older record of an era replaces no newer one',
+        _DIRECT / 'era_settlement.py',
+        'for event in filter(self._changes.admit, events[-1:]):',
+        'for event in events[-1:]:',
+        'packages/cowslipfork-direct/tests/test_era_settlement.py',
+    ),
 )
--- a/packages/cowslipfork-proxy/tests/callers/test_drain.py
+++ b/packages/cowslipfork-proxy/tests/callers/test_drain.py
@@ -76,6 +76,15 @@
         await drain
 
 
+async def test_draining_waits_for_a_connection_that_is_not_served_yet(server):
+    """Guards against an end between accepting a caller and serving it."""
+    server._make_protocol()
+    drain = asyncio.ensure_future(server.drain())
+    await asyncio.sleep(0.05)
+    assert not drain.done()
+    drain.cancel()
+
+
 async def test_an_idle_caller_reads_that_its_statement_was_not_run(
     server,
     run,
