--- a/packages/cowslipfork-proxy/tests/callers/test_drain.py
+++ b/packages/cowslipfork-proxy/tests/callers/test_drain.py
@@ -73,6 +73,10 @@
             later_released.set()
             await later_query
             assert await cursor.fetchall() == ((1,), (2,))
+            # The driver may have seen the end of the connection already.
+            with pytest.raises(Exception, match='.') as raised:
+                await cursor.execute('SELECT c FROM t')
+            assert raised.value.args[0] in {4710, 2006}
         await drain
 
 
