--- a/packages/cowslipfork-direct/src/cowslipfork_direct/connection_reset.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/connection_reset.py
@@ -2,6 +2,8 @@
 
 A connection that is closed in good order goes on to deliver what it has sent,
 after a partition of the network too. One that is reset delivers nothing more.
+The process resets a connection that it gives up; the kernel does so for a
+process that has ended or is stopped.
 """
 
 from __future__ import annotations
@@ -15,6 +17,8 @@
 #: Value of ``SO_LINGER``: wait for nothing, so that closing resets.
 _NO_LINGER: Final = struct.pack('ii', 1, 0)
 
+_MS_PER_SECOND: Final = 1000
+
 
 def reset_at_end(writer: asyncio.StreamWriter) -> None:
     """Has a connection reset when it ends, if its process is killed as well.
@@ -29,6 +33,25 @@
             opened.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
 
 
+def reset_unless_received(writer: asyncio.StreamWriter, seconds: float) -> None:
+    """Has the kernel reset a connection unless the other end receives.
+
+    It does so whether the process runs or not.
+
+    Args:
+        writer: writing end of the connection.
+        seconds: greatest time for which what was sent may be unacknowledged,
+            from now on; more than 0.
+    """
+    opened = writer.get_extra_info('socket')
+    if opened is not None:
+        milliseconds = max(1, int(seconds * _MS_PER_SECOND))
+        with suppress(OSError):
+            opened.setsockopt(
+                socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, milliseconds
+            )
+
+
 def reset(writer: asyncio.StreamWriter) -> None:
     """Resets a connection at once.
 
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/era_settlement.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/era_settlement.py
@@ -29,7 +29,9 @@
 )
 from cowslipfork_direct.clock import boot_time
 from cowslipfork_direct.decoding import decode_json
+from cowslipfork_direct.leader_lease import RENEWAL_VALIDITY
 from cowslipfork_direct.newest_changes import NewestChanges
+from cowslipfork_direct.order_window import MAX_CLAIM_AGE, ORDER_TIMEOUT
 from cowslipfork_direct.store_era import ONLY_ERA, EraTracker
 from cowslipfork_direct.store_watcher import Subscription
 
@@ -39,9 +41,9 @@
 ERA_KEY: Final = 'cowslipfork/era'
 
 #: Seconds for which an era is not settled after a node has first seen it: the
-#: validity of renewals in the era before, the age of a claim when its order is
-#: sent, and the time that the order takes, together.
-SETTLE_TIME: Final = 3.0
+#: validity of renewals in the era before, the age of a claim when its order
+#: begins, and the time until the order can't arrive any more, together.
+SETTLE_TIME: Final = RENEWAL_VALIDITY + MAX_CLAIM_AGE + ORDER_TIMEOUT
 
 #: Seconds between two checks and between two attempts to write the record.
 CHECK_INTERVAL: Final = 0.1
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/http_client.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/http_client.py
@@ -5,16 +5,19 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable
+from contextlib import AbstractAsyncContextManager, nullcontext
 from dataclasses import dataclass
 from typing import Final, TypeVar
 
 import h11
 
 from cowslipfork.errors import CowslipforkError
+from cowslipfork_direct.boot_timeout import boot_timeout_at
 from cowslipfork_direct.http_connection import (
     HttpConnection,
     HttpReply,
     HttpRequest,
+    RequestExpired,
     ResponseTooLong,
 )
 from cowslipfork_direct.relay import Address, RelayFailed, dial
@@ -53,7 +56,7 @@
 
 
 class HttpNotSent(CowslipforkError):
-    """No connection was opened; nothing was sent."""
+    """Nothing was sent: no connection was opened, or it took too long."""
 
 
 class HttpResponseLost(CowslipforkError):
@@ -134,7 +137,8 @@
             What ``read`` returned.
 
         Raises:
-            HttpNotSent: no connection could be opened.
+            HttpNotSent: no connection could be opened, or not before the
+                deadline of the request.
             HttpResponseLost: the connection broke, a time limit passed after
                 it was opened, or the response does not fit the request.
             HttpResponseTooLong: the response exceeds the limit of its size.
@@ -144,6 +148,7 @@
         reusable = False
         try:
             async with (
+                _deadline_of(request),
                 asyncio.timeout(limits.total),
                 asyncio.timeout(limits.start) as stall,
             ):
@@ -156,8 +161,10 @@
             answer = read(reply)
             reusable = reply.status == _OK
             return answer
+        except RequestExpired as error:
+            raise HttpNotSent(f'{request.path}: {error}') from error
         except ResponseTooLong as error:
-            received = 0 if connection is None else connection.received
+            received = _received_on(connection)
             raise HttpResponseTooLong(str(error), received) from error
         except _CONNECTION_ERRORS as error:
             detail = str(error) or type(error).__name__
@@ -198,6 +205,16 @@
             connection.abort()
 
 
+def _received_on(connection: HttpConnection | None) -> int:
+    return 0 if connection is None else connection.received
+
+
+def _deadline_of(request: HttpRequest) -> AbstractAsyncContextManager[None]:
+    if request.deadline is None:
+        return nullcontext()
+    return boot_timeout_at(request.deadline)
+
+
 async def _is_reusable(connection: HttpConnection) -> bool:
     """Aborts a connection that can carry no other request."""
     reusable = False
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/http_connection.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/http_connection.py
@@ -10,7 +10,13 @@
 import h11
 
 from cowslipfork.errors import CowslipforkError
-from cowslipfork_direct.connection_reset import reset, reset_at_end
+from cowslipfork_direct.clock import boot_time
+from cowslipfork_direct.connection_reset import (
+    reset,
+    reset_at_end,
+    reset_unless_received,
+)
+from cowslipfork_direct.order_window import may_send
 
 #: Most bytes read from a socket at a time.
 _READ_SIZE: Final = 65_536
@@ -37,6 +43,10 @@
     """A response exceeds its limit; says how long it is, or by now."""
 
 
+class RequestExpired(CowslipforkError):
+    """The deadline of a request passed before it was sent."""
+
+
 @dataclass(frozen=True, slots=True)
 class HttpRequest:
     """A request.
@@ -46,15 +56,16 @@
         path: path and query.
         body: its body; empty for none.
         headers: additional headers.
-        reset_at_end: whether the end of the process resets the connection too,
-            so that the request can't arrive after that.
+        deadline: boot time after which the request must not arrive any more;
+            None if it may arrive late. Its connection is reset then, and if
+            the process ends or is stopped before.
     """
 
     method: str
     path: str
     body: bytes = b''
     headers: tuple[tuple[str, str], ...] = ()
-    reset_at_end: bool = False
+    deadline: float | None = None
 
 
 class HttpConnection:
@@ -126,6 +137,7 @@
             on_received: called whenever a part of the response has arrived.
 
         Raises:
+            RequestExpired: it was too late to send the request.
             ResponseTooLong: the response is longer than ``max_size``.
         """
         head = h11.Request(
@@ -138,13 +150,12 @@
                 *request.headers,
             ],
         )
-        if request.reset_at_end:
-            reset_at_end(self._writer)
         events = (head, h11.Data(data=request.body), h11.EndOfMessage())
+        encoded = b''.join(self._state.send(event) or b'' for event in events)
         self._received = 0
-        self._writer.write(
-            b''.join(self._state.send(event) or b'' for event in events),
-        )
+        if request.deadline is not None:
+            self._limit_arrival(request.deadline)
+        self._writer.write(encoded)
         self._max_size = max_size
         reply = await self._read_response(on_received)
         surplus, _ = self._state.trailing_data
@@ -152,6 +163,18 @@
             self._state.start_next_cycle()
         return reply
 
+    def _limit_arrival(self, deadline: float) -> None:
+        """Ensures that what is written next doesn't arrive late.
+
+        Opening the connection may have taken long: the machine may have been
+        suspended meanwhile.
+        """
+        now = boot_time()
+        if not may_send(deadline, now):
+            raise RequestExpired('the deadline passed before it was sent')
+        reset_at_end(self._writer)
+        reset_unless_received(self._writer, deadline - now)
+
     async def _has_input(self) -> bool:
         """Tells whether a read ends at once: with bytes, an end or an error."""
         try:
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/promotion.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/promotion.py
@@ -31,12 +31,15 @@
         endpoint: the new primary.
         holder: node that holds the duty to order promotions.
         fence: fencing token, which grows with each change of the holder.
+        deadline: boot time after which the order must not arrive any more,
+            since another node may order then.
     """
 
     group: GroupName
     endpoint: EndpointId
     holder: VmId
     fence: int
+    deadline: float
 
 
 class Promotions(Protocol):
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/primary_supervisor.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/primary_supervisor.py
@@ -11,6 +11,7 @@
 from cowslipfork_direct.clock import boot_time
 from cowslipfork_direct.endpoint_monitor import EndpointMonitor
 from cowslipfork_direct.group import Group
+from cowslipfork_direct.order_window import has_claim_expired
 from cowslipfork_direct.takeover.claims import Claim
 from cowslipfork_direct.takeover.departure_tracker import DepartureTracker
 from cowslipfork_direct.takeover.promoter import Promoter
@@ -29,11 +30,6 @@
 
 log = logging.getLogger(__name__)
 
-#: Seconds without progress after which a node resumes another node's takeover:
-#: longer than the greatest age of a claim whose order is sent, plus the time
-#: that the order takes.
-CLAIM_EXPIRY: Final = 3.0
-
 #: Seconds between two checks of conditions that depend on time alone.
 POLL_INTERVAL: Final = 0.25
 
@@ -144,7 +140,7 @@
         own = takeover.claimer == self._context.node
         if own and takeover.phase is TakeoverPhase.CLAIMED:
             return True
-        return boot_time() - cached.seen_at > CLAIM_EXPIRY
+        return has_claim_expired(cached.seen_at, boot_time())
 
     def _unrecorded_takeover(self) -> CachedTakeover | None:
         """Returns an ordered takeover whose candidate is primary, if any.
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/promoter.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/promoter.py
@@ -15,6 +15,7 @@
 from cowslipfork_direct.endpoint_monitor import EndpointMonitor
 from cowslipfork_direct.group import Group
 from cowslipfork_direct.link import EndpointRole, EndpointStatus, Link
+from cowslipfork_direct.order_window import order_deadline
 from cowslipfork_direct.promotion import OrderResult, PromotionOrder
 from cowslipfork_direct.takeover.claims import Claim
 from cowslipfork_direct.takeover.decision import (
@@ -50,10 +51,6 @@
 #: Seconds after which a takeover is given up if no order was accepted.
 TAKEOVER_TIMEOUT: Final = 8.0
 
-#: Greatest age in seconds of a claim's last write when an order is sent. A node
-#: that resumes another node's takeover waits longer, for ``CLAIM_EXPIRY``.
-MAX_CLAIM_AGE: Final = 0.5
-
 #: Seconds that the candidate has to become primary after the platform accepted
 #: the order.
 PROMOTION_TIMEOUT: Final = 4.0
@@ -249,7 +246,7 @@
         if (
             self._takeover.phase is not TakeoverPhase.ORDERED
             or self._takeover.candidate != candidate
-            or not self._may_order()
+            or self._order_deadline() is None
         ):
             advanced = await self._context.claims.advance(
                 self._claim,
@@ -259,7 +256,8 @@
             if advanced is None:
                 return OrderResult.TRY_AGAIN
             self._claim = advanced
-        if not self._may_order():
+        deadline = self._order_deadline()
+        if deadline is None:
             # This node was suspended after the write, and another node may
             # have resumed the takeover meanwhile.
             return OrderResult.TRY_AGAIN
@@ -268,6 +266,7 @@
             candidate,
             self._context.node,
             self._claim.fence,
+            deadline,
         )
         result = await self._context.promotions.order(order)
         self._context.metrics.count_takeover_step(f'order_{result.value}')
@@ -283,10 +282,14 @@
         )
         return result
 
-    def _may_order(self) -> bool:
-        """Returns whether the claim is recent and its fence the newest."""
-        recent = boot_time() - self._claim.confirmed_at <= MAX_CLAIM_AGE
-        return recent and self._context.claims.fence_of(self._claim) > 0
+    def _order_deadline(self) -> float | None:
+        """Returns the deadline of an order that begins now.
+
+        None if the claim is not recent or its fence is not the newest.
+        """
+        if not self._context.claims.fence_of(self._claim):
+            return None
+        return order_deadline(self._claim.confirmed_at, boot_time())
 
     async def _finish(self, candidate: EndpointId) -> None:
         """Waits until the candidate is primary and records that."""
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/direct_table.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/direct_table.py
@@ -83,9 +83,9 @@
     ),
     Mutant(
         'direct: an order needs a recently confirmed claim',
-        _DIRECT / 'takeover/promoter.py',
-        'MAX_CLAIM_AGE: Final = 0.5',
-        'MAX_CLAIM_AGE: Final = 500',
+        _DIRECT / 'order_window.py',
+        'if now - confirmed_at > MAX_CLAIM_AGE:',
+        'if now < confirmed_at:',
         _MECHANISMS,
     ),
     Mutant(
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/takeover_table.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/takeover_table.py
@@ -20,6 +20,10 @@
     '-c platform/pyproject.toml platform/tests/test_lost_orders.py'
 )
 _DIRECT: Final = _TAKEOVER.parent
+_DIRECT_TESTS: Final = 'packages/cowslipfork-direct/tests'
+_CONNECTION: Final = _DIRECT / 'http_connection.py'
+_WINDOW: Final = _DIRECT / 'order_window.py'
+_WINDOW_SEARCH: Final = f'{_DIRECT_TESTS}/test_order_window_search.py'
 
 TAKEOVER_MUTANTS: Final = (
     Mutant(
@@ -216,11 +220,67 @@
     ),
     Mutant(
         'takeover: an order of a process that ends never arrives',
-        PurePosixPath('platform/src/cowslipfork_platform/promotion.py'),
-        'reset_at_end=True',
-        'reset_at_end=False',
+        _CONNECTION,
+        '        reset_at_end(self._writer)\n',
+        '',
+        _LOST_ORDERS,
+    ),
+    Mutant(
+        'takeover: an order of a stopped process never arrives',
+        _CONNECTION,
+        '        reset_unless_received(self._writer, deadline - now)\n',
+        '',
+        f'{_DIRECT_TESTS}/test_connection_reset.py',
+    ),
+    Mutant(
+        'takeover: an order is not sent late',
+        _CONNECTION,
+        'if not may_send(deadline, now):',
+        'if not deadline:',
+        _LOST_ORDERS,
+    ),
+    Mutant(
+        'takeover: an order is given up in boot time',
+        _DIRECT / 'http_client.py',
+        'return boot_timeout_at(request.deadline)',
+        'return nullcontext()',
         _LOST_ORDERS,
     ),
+    Mutant(
+        'takeover: the deadline of an order ends with its time',
+        _WINDOW,
+        'return now < deadline',
+        'return deadline > 0',
+        _WINDOW_SEARCH,
+    ),
+    Mutant(
+        'takeover: a claim expires',
+        _WINDOW,
+        'return now - seen_at > CLAIM_EXPIRY',
+        'return now >= seen_at',
+        _WINDOW_SEARCH,
+    ),
+    Mutant(
+        'takeover: a claim outlasts its greatest age',
+        _WINDOW,
+        'CLAIM_EXPIRY: Final = MAX_CLAIM_AGE + ',
+        'CLAIM_EXPIRY: Final = ',
+        _WINDOW_SEARCH,
+    ),
+    Mutant(
+        'takeover: a claim outlasts its orders',
+        _WINDOW,
+        'MAX_CLAIM_AGE + ORDER_TIMEOUT + RESET_DELAY',
+        'MAX_CLAIM_AGE + RESET_DELAY',
+        _WINDOW_SEARCH,
+    ),
+    Mutant(
+        'takeover: a claim outlasts a late reset',
+        _WINDOW,
+        'ORDER_TIMEOUT + RESET_DELAY',
+        'ORDER_TIMEOUT',
+        _WINDOW_SEARCH,
+    ),
     Mutant(
         'takeover: an older record of an era replaces no newer one',
         _DIRECT / 'era_settlement.py',
