--- a/packages/cowslipfork-direct/src/cowslipfork_direct/connection_reset.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/connection_reset.py
@@ -17,6 +17,9 @@
 #: Value of ``SO_LINGER``: wait for nothing, so that closing resets.
 _NO_LINGER: Final = struct.pack('ii', 1, 0)
 
+#: The usual value: closing returns at once, and what was sent is delivered.
+_DELIVER: Final = struct.pack('ii', 0, 0)
+
 _MS_PER_SECOND: Final = 1000
 
 
@@ -26,11 +29,16 @@
     Args:
         writer: writing end of the connection.
     """
-    opened = writer.get_extra_info('socket')
-    if opened is not None:
-        # The option can't be set on a connection that has ended already.
-        with suppress(OSError):
-            opened.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+    _set_linger(writer, _NO_LINGER)
+
+
+def deliver_at_end(writer: asyncio.StreamWriter) -> None:
+    """Has a connection deliver what was sent when it ends.
+
+    Args:
+        writer: writing end of the connection.
+    """
+    _set_linger(writer, _DELIVER)
 
 
 def reset_unless_received(writer: asyncio.StreamWriter, seconds: float) -> None:
@@ -60,3 +68,11 @@
     """
     reset_at_end(writer)
     writer.transport.abort()
+
+
+def _set_linger(writer: asyncio.StreamWriter, linger: bytes) -> None:
+    opened = writer.get_extra_info('socket')
+    if opened is not None:
+        # The option can't be set on a connection that has ended already.
+        with suppress(OSError):
+            opened.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/relay.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/relay.py
@@ -5,6 +5,10 @@
 unchanged in both directions. The relay connects only to addresses that this
 node uses itself.
 
+If the requesting node closes its connection, the target still receives what was
+sent; if it resets it, having given a request up, the target's one is reset too.
+So it is when the relay's process ends.
+
 A connection that starts with another message is a peer link, and is served
 elsewhere.
 """
@@ -21,6 +25,7 @@
 import msgspec
 
 from cowslipfork.errors import CowslipforkError
+from cowslipfork_direct.connection_reset import deliver_at_end, reset_at_end
 from cowslipfork_direct.counting_reader import CountingReader
 from cowslipfork_direct.decoding import decode_json
 
@@ -160,6 +165,7 @@
         if target is None:
             await writer.drain()
             return
+        reset_at_end(target[1])
         try:
             await _splice((reader, writer), target)
         finally:
@@ -246,7 +252,7 @@
 async def _splice(one: Streams, other: Streams) -> None:
     """Forwards bytes in both directions until either side ends.
 
-    What that side has sent before its end is still delivered.
+    What a side has sent before it closed is still delivered.
     """
     tasks = [
         asyncio.create_task(_forward(one[0], other[1])),
@@ -274,6 +280,7 @@
 
 async def _flush(writer: asyncio.StreamWriter) -> None:
     """Closes a connection once what was written is sent, or in time."""
+    deliver_at_end(writer)
     writer.close()
     with suppress(TimeoutError):
         async with asyncio.timeout(FLUSH_TIMEOUT):
--- a/packages/cowslipfork-direct/tests/test_relay.py
+++ b/packages/cowslipfork-direct/tests/test_relay.py
@@ -10,6 +10,7 @@
 from hypothesis import strategies as st
 
 from cowslipfork_direct import relay as relay_module
+from cowslipfork_direct.connection_reset import reset
 from cowslipfork_direct.relay import Address, Relay, RelayFailed, dial
 
 
@@ -303,3 +304,67 @@
     async with listening(serve) as via:
         with pytest.raises(RelayFailed):
             await dial(Address('127.0.0.1', 1), via)
+
+
+class RecordingTarget:
+    """Receives bytes and how their connection ends."""
+
+    def __init__(self):
+        self.received = bytearray()
+        self.begun = asyncio.Event()
+        #: The error at its end; None for an orderly one.
+        self.end = asyncio.get_running_loop().create_future()
+
+    async def serve(self, reader, writer):
+        try:
+            while chunk := await reader.read(65_536):
+                self.received += chunk
+                self.begun.set()
+            self.end.set_result(None)
+        except ConnectionResetError as error:
+            self.end.set_result(error)
+        writer.close()
+
+
+async def test_a_request_that_is_reset_is_reset_at_its_target():
+    """Guards against a store's write that arrives after it was given up."""
+    recording = RecordingTarget()
+    async with listening(recording.serve) as target:
+        async with listening(Relay(lambda: {target}).serve) as via:
+            _, writer = await dial(target, via)
+            writer.write(b'request')
+            await recording.begun.wait()
+            reset(writer)
+            assert isinstance(await recording.end, ConnectionResetError)
+
+
+async def test_a_request_before_a_close_is_delivered():
+    """Guards against a relay that resets what it has yet to deliver."""
+    recording = RecordingTarget()
+    content = bytes(1_000_000)
+    async with listening(recording.serve) as target:
+        async with listening(Relay(lambda: {target}).serve) as via:
+            _, writer = await dial(target, via)
+            writer.write(content)
+            writer.close()
+            assert await recording.end is None
+    assert recording.received == content
+
+
+async def test_the_end_of_a_relay_resets_its_connections():
+    """Guards against a request that arrives though its relay was stopped."""
+    recording = RecordingTarget()
+    serving = []
+
+    async def serve(reader, writer):
+        serving.append(asyncio.current_task())
+        await Relay(lambda: {target}).serve(reader, writer)
+
+    async with listening(recording.serve) as target:
+        async with listening(serve) as via:
+            _, writer = await dial(target, via)
+            writer.write(b'request')
+            await recording.begun.wait()
+            serving[0].cancel()
+            assert isinstance(await recording.end, ConnectionResetError)
+            writer.close()
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/takeover_table.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/takeover_table.py
@@ -281,6 +281,20 @@
         'ORDER_TIMEOUT',
         _WINDOW_SEARCH,
     ),
+    Mutant(
+        'takeover: a relay passes on that a request was given up',
+        _DIRECT / 'relay.py',
+        '        reset_at_end(target[1])\n',
+        '',
+        f'{_DIRECT_TESTS}/test_relay.py',
+    ),
+    Mutant(
+        'takeover: a relay delivers what was sent before a close',
+        _DIRECT / 'relay.py',
+        '    deliver_at_end(writer)\n',
+        '',
+        f'{_DIRECT_TESTS}/test_relay.py',
+    ),
     Mutant(
         'takeover: an older record of an era replaces no newer one',
         _DIRECT / 'era_settlement.py',
