--- a/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/fencing.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/fencing.py
@@ -4,14 +4,13 @@
 
 import asyncio
 import logging
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Mapping
 from contextlib import suppress
 from typing import Final
 
 from cowslipfork.ids import EndpointId, Term, VmId
 from cowslipfork.store import StoreDown
 from cowslipfork_direct.clock import boot_time
-from cowslipfork_direct.endpoint_monitor import EndpointMonitor
 from cowslipfork_direct.fleet import (
     NODES_PREFIX,
     Registered,
@@ -22,8 +21,9 @@
     CONFIRMATION_VALIDITY,
     RENEWAL_VALIDITY,
 )
-from cowslipfork_direct.link import EndpointRole, EndpointStatus, Link
+from cowslipfork_direct.link import EndpointRole
 from cowslipfork_direct.store_era import ONLY_ERA
+from cowslipfork_direct.takeover.endpoint_orders import EndpointOrders
 from cowslipfork_direct.takeover.records import Takeover, TakeoverKind
 from cowslipfork_direct.takeover.takeover_context import TakeoverContext
 
@@ -46,7 +46,7 @@
         self,
         context: TakeoverContext,
         group: Group,
-        endpoint_monitor: EndpointMonitor,
+        endpoint_orders: EndpointOrders,
         takeover: Takeover,
         deadline: float,
     ) -> None:
@@ -55,13 +55,13 @@
         Args:
             context: dependencies of a takeover's steps.
             group: group whose primary changes.
-            endpoint_monitor: endpoint monitor of the group.
+            endpoint_orders: holds and demotes endpoints.
             takeover: the change of primary.
             deadline: boot time at which it gives up.
         """
         self._context = context
         self._group = group
-        self._endpoint_monitor = endpoint_monitor
+        self._endpoint_orders = endpoint_orders
         self._takeover = takeover
         self._deadline = deadline
         self._registered: Mapping[VmId, Registered] = {}
@@ -307,9 +307,7 @@
             if endpoint.id != self._takeover.old
         ]
         term = self._fence_term()
-        statuses = await self._endpoint_monitor.control_all(
-            replicas, _hold(term)
-        )
+        statuses = await self._endpoint_orders.hold(replicas, term)
         return frozenset(
             endpoint.id
             for endpoint, status in zip(replicas, statuses, strict=True)
@@ -342,23 +340,5 @@
         if endpoint is None:
             return False
         term = self._fence_term()
-        status = await self._endpoint_monitor.control(endpoint, _demote(term))
+        status = await self._endpoint_orders.demote(endpoint, term)
         return status is not None and status.role is EndpointRole.REPLICA
-
-
-def _hold(
-    term: Term,
-) -> Callable[[Link], Awaitable[EndpointStatus | None]]:
-    async def hold(link: Link) -> EndpointStatus | None:
-        return await link.hold(term)
-
-    return hold
-
-
-def _demote(
-    term: Term,
-) -> Callable[[Link], Awaitable[EndpointStatus | None]]:
-    async def demote(link: Link) -> EndpointStatus | None:
-        return await link.demote(term)
-
-    return demote
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/promoter.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/promoter.py
@@ -8,14 +8,14 @@
 
 import asyncio
 import logging
+from contextlib import suppress
 from typing import Final
 
 from cowslipfork.ids import EndpointId, Mark
 from cowslipfork_direct.clock import boot_time
 from cowslipfork_direct.endpoint_monitor import EndpointMonitor
 from cowslipfork_direct.group import Group
-from cowslipfork_direct.link import EndpointRole, EndpointStatus, Link
-from cowslipfork_direct.order_window import order_deadline
+from cowslipfork_direct.link import EndpointRole
 from cowslipfork_direct.promotion import OrderResult, PromotionOrder
 from cowslipfork_direct.takeover.claims import Claim
 from cowslipfork_direct.takeover.decision import (
@@ -28,8 +28,10 @@
     next_step,
 )
 from cowslipfork_direct.takeover.departure_tracker import DepartureTracker
+from cowslipfork_direct.takeover.endpoint_orders import EndpointOrders
 from cowslipfork_direct.takeover.evidence_collector import EvidenceCollector
 from cowslipfork_direct.takeover.fencing import Fencing
+from cowslipfork_direct.takeover.held_claim import HeldClaim
 from cowslipfork_direct.takeover.records import (
     Takeover,
     TakeoverKind,
@@ -51,6 +53,9 @@
 #: Seconds after which a takeover is given up if no order was accepted.
 TAKEOVER_TIMEOUT: Final = 8.0
 
+#: Seconds for which the end of an abandoned takeover waits for replicas.
+RESUME_TIMEOUT: Final = 0.25
+
 #: Seconds that the candidate has to become primary after the platform accepted
 #: the order.
 PROMOTION_TIMEOUT: Final = 4.0
@@ -82,10 +87,17 @@
         self._evidence_collector = EvidenceCollector(
             context, group, endpoint_monitor, departure_tracker
         )
-        self._claim = claim
+        self._held_claim = HeldClaim(context.claims, claim)
+        self._endpoint_orders = EndpointOrders(
+            self._held_claim, endpoint_monitor
+        )
         self._deadline = boot_time() + TAKEOVER_TIMEOUT
         self._fencing = Fencing(
-            context, group, endpoint_monitor, claim.takeover, self._deadline
+            context,
+            group,
+            self._endpoint_orders,
+            claim.takeover,
+            self._deadline,
         )
         #: Endpoints that the platform can't promote now.
         self._refused: set[EndpointId] = set()
@@ -94,7 +106,7 @@
 
     @property
     def _takeover(self) -> Takeover:
-        return self._claim.takeover
+        return self._held_claim.takeover
 
     async def run(self) -> None:
         """Promotes a replica or abandons the takeover.
@@ -105,7 +117,7 @@
         if await self._fencing.stop_old_primary():
             await self._promote()
         elif may_abandon_unseen(self._takeover):
-            await self._abandon()
+            await self.abandon()
         else:
             log.error('takeover_stuck', extra={'group': self._group.name})
 
@@ -153,7 +165,7 @@
             case Promote(candidate):
                 return await self._promote_candidate(candidate)
             case Abandon():
-                await self._abandon()
+                await self.abandon()
                 return True
             case Demote(endpoint):
                 await self._demote(endpoint)
@@ -246,18 +258,15 @@
         if (
             self._takeover.phase is not TakeoverPhase.ORDERED
             or self._takeover.candidate != candidate
-            or self._order_deadline() is None
+            or not self._may_order()
         ):
-            advanced = await self._context.claims.advance(
-                self._claim,
-                TakeoverPhase.ORDERED,
-                candidate,
+            advanced = await self._held_claim.advance(
+                TakeoverPhase.ORDERED, candidate
             )
-            if advanced is None:
+            if not advanced:
                 return OrderResult.TRY_AGAIN
-            self._claim = advanced
-        deadline = self._order_deadline()
-        if deadline is None:
+        deadline = self._held_claim.deadline
+        if deadline is None or not self._may_order():
             # This node was suspended after the write, and another node may
             # have resumed the takeover meanwhile.
             return OrderResult.TRY_AGAIN
@@ -265,7 +274,7 @@
             self._group.name,
             candidate,
             self._context.node,
-            self._claim.fence,
+            self._held_claim.fence,
             deadline,
         )
         result = await self._context.promotions.order(order)
@@ -276,20 +285,16 @@
                 'group': self._group.name,
                 'candidate': candidate,
                 'term': self._takeover.term,
-                'fence': self._claim.fence,
+                'fence': order.fence,
                 'result': result.value,
             },
         )
         return result
 
-    def _order_deadline(self) -> float | None:
-        """Returns the deadline of an order that begins now.
-
-        None if the claim is not recent or its fence is not the newest.
-        """
-        if not self._context.claims.fence_of(self._claim):
-            return None
-        return order_deadline(self._claim.confirmed_at, boot_time())
+    def _may_order(self) -> bool:
+        """Returns whether the claim is recent and its fence the newest."""
+        recent = self._held_claim.deadline is not None
+        return recent and self._held_claim.fence > 0
 
     async def _finish(self, candidate: EndpointId) -> None:
         """Waits until the candidate is primary and records that."""
@@ -304,13 +309,9 @@
             return
         self._context.metrics.count_takeover_step('done')
         leader = self._group.leader
-        advanced = await self._context.claims.advance(
-            self._claim,
-            TakeoverPhase.DONE,
-            term=leader.term if leader else None,
+        await self._held_claim.advance(
+            TakeoverPhase.DONE, term=leader.term if leader else None
         )
-        if advanced is not None:
-            self._claim = advanced
 
     def _candidate_leads(self) -> bool:
         leader = self._group.leader
@@ -326,18 +327,18 @@
             cached is not None and cached.takeover.claim != self._takeover.claim
         )
 
-    async def _abandon(self) -> None:
-        """Ends the takeover before a promotion was ordered.
+    async def abandon(self) -> None:
+        """Ends the takeover; no promotion was ordered in it.
 
-        The held replicas receive from the old primary again.
+        The replicas that were held receive from the old primary again. They
+        do so before the end is recorded: once it is, another node may hold
+        them anew. Those that don't answer are left to ``HeldReplicas``.
         """
         self._context.metrics.count_takeover_step('abandoned')
         log.warning('takeover_abandoned', extra={'group': self._group.name})
-        await self._context.claims.advance(self._claim, TakeoverPhase.ABANDONED)
-        await self._endpoint_monitor.control_all(
-            self._group.reachable_endpoints, _resume
-        )
-
-
-async def _resume(link: Link) -> EndpointStatus | None:
-    return await link.resume()
+        with suppress(TimeoutError):
+            async with asyncio.timeout(RESUME_TIMEOUT):
+                await self._endpoint_orders.resume(
+                    self._group.reachable_endpoints
+                )
+        await self._held_claim.advance(TakeoverPhase.ABANDONED)
