--- a/packages/cowslipfork-direct/src/cowslipfork_direct/endpoint_monitor.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/endpoint_monitor.py
@@ -65,6 +65,7 @@
         self._renewal_requested = asyncio.Event()
         self._sample_requested = asyncio.Event()
         self._statuses_requested = asyncio.Event()
+        self._replica_statuses_requested = asyncio.Event()
         self._no_wait_until: float = 0
         self._leader_status_need: LeaseNeed | None = None
         self._waiting_for_lease = 0
@@ -91,6 +92,10 @@
         """Requests the statuses of endpoints that were of another term."""
         self._statuses_requested.set()
 
+    def request_replica_statuses(self) -> None:
+        """Requests the statuses of all reachable replicas."""
+        self._replica_statuses_requested.set()
+
     async def wait_for_lease(
         self,
         leader: Leader,
@@ -166,6 +171,7 @@
             tasks.create_task(self._find_leader())
             tasks.create_task(self._sample_mark())
             tasks.create_task(self._inspect_outdated())
+            tasks.create_task(self._inspect_replicas())
 
     async def inspect(self, endpoint: Endpoint) -> bool:
         """Requests an endpoint's status and updates the group with it.
@@ -280,6 +286,13 @@
             await asyncio.sleep(OUTDATED_STATUS_PAUSE)
             self._statuses_requested.clear()
 
+    async def _inspect_replicas(self) -> None:
+        """Inspects all reachable replicas on request."""
+        while True:
+            await self._replica_statuses_requested.wait()
+            self._replica_statuses_requested.clear()
+            await self.inspect_all(self._replicas())
+
     async def _sample_mark(self) -> None:
         """Requests the primary's mark when a sample is requested."""
         while True:
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/group.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/group.py
@@ -220,6 +220,21 @@
             endpoint, leader
         )
 
+    def held_replicas(self, since: float) -> list[Endpoint]:
+        """Returns reachable replicas that are held above the primary's term.
+
+        Args:
+            since: boot time before which statuses prove nothing.
+        """
+        leader = self._leader
+        if leader is None:
+            return []
+        return [
+            endpoint
+            for endpoint in self.reachable_endpoints
+            if self._observed_statuses.is_held(endpoint.id, leader, since)
+        ]
+
     def update_endpoints(
         self,
         listed: Iterable[ListedEndpoint],
@@ -369,7 +384,9 @@
         self._allowed_primaries.allow_from(lowest)
         self._paused = False
         for endpoint in self._observed_statuses.endpoints:
-            self.forget(endpoint)
+            # The primary was not rejected if it was only to be drained.
+            if not self.leads(endpoint):
+                self.forget(endpoint)
 
     def note_leading(self, leader: Leader, begun: float) -> None:
         """Notes that a primary has shown that it leads its term.
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/observed_statuses.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/observed_statuses.py
@@ -105,6 +105,24 @@
             and observed.status.term == leader.term
         )
 
+    def is_held(
+        self, endpoint: EndpointId, leader: Leader, since: float
+    ) -> bool:
+        """Returns whether a replica receives nothing from the primary.
+
+        Args:
+            endpoint: the endpoint.
+            leader: the primary.
+            since: boot time before which statuses prove nothing.
+        """
+        observed = self._statuses.get(endpoint)
+        return (
+            observed is not None
+            and observed.begun > since
+            and observed.status.role is EndpointRole.REPLICA
+            and observed.status.held_term > leader.term
+        )
+
     def confirmation_times(self, leader: Leader) -> list[float]:
         """Returns when replicas confirmed that no promotion is under way.
 
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/primary_supervisor.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/primary_supervisor.py
@@ -14,6 +14,7 @@
 from cowslipfork_direct.order_window import has_claim_expired
 from cowslipfork_direct.takeover.claims import Claim
 from cowslipfork_direct.takeover.departure_tracker import DepartureTracker
+from cowslipfork_direct.takeover.held_replicas import HeldReplicas
 from cowslipfork_direct.takeover.promoter import Promoter
 from cowslipfork_direct.takeover.ranking import DELAY_PER_RANK, write_delay
 from cowslipfork_direct.takeover.records import (
@@ -68,6 +69,7 @@
         self._endpoint_monitor = endpoint_monitor
         self._suspicion_reporter = suspicion_reporter
         self._departure_tracker = departure_tracker
+        self._held_replicas = HeldReplicas(context, group, endpoint_monitor)
         self._last_takeover_at = -math.inf
         self._ended_claim: ClaimId | None = None
 
@@ -92,6 +94,7 @@
                 self._endpoint_monitor.request_outdated_statuses()
             kind = self.needed_takeover()
             if kind is None:
+                await self._release_held_replicas()
                 await wait_for_any(*change_events, timeout=POLL_INTERVAL)
                 continue
             await asyncio.sleep(self._write_delay())
@@ -236,16 +239,44 @@
             return cached.takeover.old
         return self._group.listed_primary
 
-    async def _carry_out(self, claim: Claim) -> None:
-        begun = boot_time()
-        self._context.metrics.count_takeover_step('claimed')
-        await Promoter(
+    async def _release_held_replicas(self) -> None:
+        """Has replicas receive again that no takeover holds any more.
+
+        Only with a claim: another node may be about to hold them.
+        """
+        self._held_replicas.request_statuses_if_due()
+        held = self._held_replicas.find()
+        if not held:
+            return
+        group = self._group
+        names = ','.join(sorted(endpoint.id for endpoint in held))
+        log.warning(
+            'replicas_held', extra={'group': group.name, 'endpoints': names}
+        )
+        claim = await self._context.claims.claim(
+            group.name,
+            TakeoverKind.HANDOVER,
+            self._old_primary(),
+            group.highest_term,
+        )
+        if claim is not None:
+            await self._promoter(claim).abandon()
+            self._ended_claim = claim.takeover.claim
+        self._held_replicas.note_release()
+
+    def _promoter(self, claim: Claim) -> Promoter:
+        return Promoter(
             self._context,
             self._group,
             self._endpoint_monitor,
             self._departure_tracker,
             claim,
-        ).run()
+        )
+
+    async def _carry_out(self, claim: Claim) -> None:
+        begun = boot_time()
+        self._context.metrics.count_takeover_step('claimed')
+        await self._promoter(claim).run()
         self._ended_claim = claim.takeover.claim
         log.warning(
             'takeover_ended',
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/takeover_table.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/takeover_table.py
@@ -15,6 +15,8 @@
 _OUTAGE: Final = f'{_TESTS}/test_store_outage.py'
 _LOST_PROCESSES: Final = f'{_TESTS}/test_lost_processes.py'
 _DEMOTED: Final = f'{_TESTS}/test_demoted_primary.py'
+_HELD: Final = f'{_TESTS}/test_held_replicas.py'
+_ENDPOINT_ORDERS: Final = f'{_TESTS}/test_endpoint_orders.py'
 _LATE_WRITES: Final = f'{_TESTS}/test_late_own_writes.py'
 _LOST_ORDERS: Final = (
     '-c platform/pyproject.toml platform/tests/test_lost_orders.py'
@@ -295,6 +297,56 @@
         '',
         f'{_DIRECT_TESTS}/test_relay.py',
     ),
+    Mutant(
+        'takeover: replicas receive again before the end is recorded',
+        _TAKEOVER / 'promoter.py',
+        'with suppress(TimeoutError):',
+        'await self._held_claim.advance(TakeoverPhase.ABANDONED)\n'
+        '        with suppress(TimeoutError):',
+        _HELD,
+    ),
+    Mutant(
+        'takeover: replicas that are held without a takeover are released',
+        _TAKEOVER / 'primary_supervisor.py',
+        '                await self._release_held_replicas()\n',
+        '',
+        _HELD,
+    ),
+    Mutant(
+        'takeover: a takeover under way holds its replicas',
+        _TAKEOVER / 'held_replicas.py',
+        'return last.under_way or last.ceiling > leader.term',
+        'return last.ceiling > leader.term',
+        _HELD,
+    ),
+    Mutant(
+        'takeover: endpoints are ordered with a recent claim only',
+        _TAKEOVER / 'endpoint_orders.py',
+        'deadline = await self._held_claim.refresh()',
+        'deadline = boot_time() + 1',
+        _ENDPOINT_ORDERS,
+    ),
+    Mutant(
+        'takeover: endpoints are not ordered late',
+        _TAKEOVER / 'endpoint_orders.py',
+        'if not may_send(deadline, boot_time()):',
+        'if not deadline:',
+        _ENDPOINT_ORDERS,
+    ),
+    Mutant(
+        'takeover: orders to endpoints are given up in boot time',
+        _TAKEOVER / 'endpoint_orders.py',
+        'async with boot_timeout_at(deadline):',
+        'async with boot_timeout_at(deadline + 60):',
+        _ENDPOINT_ORDERS,
+    ),
+    Mutant(
+        'takeover: a command that is given up never arrives',
+        PurePosixPath('platform/src/cowslipfork_platform/endpoints.py'),
+        '            reset(self._writer)\n',
+        '            self._writer.close()\n',
+        '-c platform/pyproject.toml platform/tests/test_endpoints.py',
+    ),
     Mutant(
         'takeover: an older record of an era replaces no newer one',
         _DIRECT / 'era_settlement.py',
