--- a/packages/cowslipfork-direct/src/cowslipfork_direct/group_services.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/group_services.py
@@ -34,7 +34,6 @@
     """The parts of one group that the whole node speaks to."""
 
     executor: LocalExecutor
-    suspicion_reporter: SuspicionReporter
     takeover_handler: TakeoverHandler
 
 
@@ -78,11 +77,6 @@
         if parts is not None:
             parts.takeover_handler.apply(takeover)
 
-    def start_era(self) -> None:
-        """Reports again what the store may have lost."""
-        for parts in self._parts.values():
-            parts.suspicion_reporter.start_era()
-
     def close(self) -> None:
         """Ends all tasks."""
         for task in self._tasks:
@@ -109,7 +103,7 @@
             context.metrics,
         )
         self._parts[group.name] = _GroupParts(
-            LocalExecutor(service), suspicion_reporter, takeover_handler
+            LocalExecutor(service), takeover_handler
         )
         cached = context.takeover_cache.takeover(group.name)
         if cached is not None:
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/node.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/node.py
@@ -476,7 +476,6 @@
         self._takeover_cache.start_era()
         self._departure_cache.start_era()
         self._store_watcher.start_era()
-        self._services.start_era()
 
     def _on_era_settled(self) -> None:
         self._takeover_cache.settle_era()
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/suspicion_reporter.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/suspicion_reporter.py
@@ -8,7 +8,7 @@
 from typing import Final
 
 from cowslipfork.ids import VmId
-from cowslipfork.store import LeaseId, LeasingStore, Put, StoreDown
+from cowslipfork.store import Event, LeaseId, LeasingStore, Put, StoreDown
 from cowslipfork_direct.group import Group
 from cowslipfork_direct.takeover.records import (
     Suspicion,
@@ -43,7 +43,7 @@
         Args:
             node: this node.
             group: the group.
-            takeover_cache: cache that holds other nodes' suspicions.
+            takeover_cache: cache of all nodes' suspicions.
             store: store to which suspicions are written.
             lease: returns this node's lease; a suspicion is removed when the
                 lease ends.
@@ -53,7 +53,6 @@
         self._takeover_cache = takeover_cache
         self._store = store
         self._lease = lease
-        self._reported: Suspicion | None = None
         self._logged: Suspicion | None = None
 
     @property
@@ -85,9 +84,15 @@
             return None
         return Suspicion(None, self._group.highest_term)
 
-    def start_era(self) -> None:
-        """Reports again what the store may have lost."""
-        self._reported = None
+    @property
+    def _recorded(self) -> Suspicion | None:
+        """This node's suspicion in the store, as far as it is known.
+
+        It may differ from the one that was written last: an earlier write
+        without an answer may have taken effect since, or the lease has ended.
+        """
+        recorded = self._takeover_cache.suspicions(self._group.name)
+        return recorded.get(self._node)
 
     async def run(self) -> None:
         """Keeps this node's suspicion in the store current until cancelled."""
@@ -96,7 +101,7 @@
             takeover_event = self._takeover_cache.change_event
             self._check_suspected_primary()
             suspicion = self.suspicion
-            if suspicion == self._reported:
+            if suspicion == self._recorded:
                 await wait_for_any(
                     group_event, takeover_event, timeout=POLL_INTERVAL
                 )
@@ -137,9 +142,10 @@
             await asyncio.sleep(RETRY_INTERVAL)
             return
         try:
-            await self._store.swap((), (Put(key, content, lease),))
+            swapped = await self._store.swap((), (Put(key, content, lease),))
         except StoreDown as error:
             log.info('suspicion_delayed', extra={'cause': str(error)})
             await asyncio.sleep(RETRY_INTERVAL)
         else:
-            self._reported = suspicion
+            written = Event(key, content, swapped.revision)
+            self._takeover_cache.apply_events([written])
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/takeover_table.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/takeover_table.py
@@ -347,6 +347,13 @@
         '            self._writer.close()\n',
         '-c platform/pyproject.toml platform/tests/test_endpoints.py',
     ),
+    Mutant(
+        'takeover: a suspicion in the store is that of its node',
+        _TAKEOVER / 'suspicion_reporter.py',
+        'if suspicion == self._recorded:',
+        'if suspicion == self._logged:',
+        f'{_TESTS}/test_suspicion_reporter.py',
+    ),
     Mutant(
         'takeover: an older record of an era replaces no newer one',
         _DIRECT / 'era_settlement.py',
