--- a/packages/cowslipfork-lab/src/cowslipfork_lab/relay/relay.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/relay/relay.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass, field
 from typing import Any
@@ -43,11 +44,21 @@
 
 
 class Relay:
-    """Stands before any number of processes."""
+    """Stands before any number of processes.
+
+    Bytes that a silent rule holds up are delivered once it ends, unless their
+    sender has reset the connection.
+
+    Attributes:
+        rules: what happens to the bytes.
+        on_sent: called with sender and receiver before a rule is applied to
+            what was sent.
+    """
 
     def __init__(self) -> None:
         """Starts without listeners."""
         self.rules = Rules()
+        self.on_sent: Callable[[str, str], None] = _ignore
         self._names: dict[int, str] = {}
         self._listeners: dict[str, _Listener] = {}
         self._tasks: set[asyncio.Task[Any]] = set()
@@ -204,12 +215,16 @@
             _CHUNKS_IN_FLIGHT,
         )
         reading = self._start(_read(reader, chunks))
+        delivering = self._start(
+            self._deliver(connection, direction, chunks, writer)
+        )
         try:
-            await self._deliver(connection, direction, chunks, writer)
+            await _deliver_unless_reset(reading, delivering)
         except OSError:
             return
         finally:
             reading.cancel()
+            delivering.cancel()
 
     async def _deliver(
         self,
@@ -223,6 +238,7 @@
             sent_at, chunk = await chunks.get()
             if connection in self._hushed:
                 continue
+            self.on_sent(direction.source, direction.destination)
             rule = await self.rules.wait_while_silent(
                 direction.source,
                 direction.destination,
@@ -260,16 +276,34 @@
     reader: asyncio.StreamReader,
     chunks: asyncio.Queue[tuple[float, bytes]],
 ) -> None:
+    """Reads until the sender closes, which is an empty chunk.
+
+    Raises:
+        OSError: the sender has reset the connection.
+    """
     clock = asyncio.get_running_loop()
-    chunk = await _next_chunk(reader)
-    while chunk:
+    while True:
+        chunk = await reader.read(_CHUNK_BYTES)
         await chunks.put((clock.time(), chunk))
-        chunk = await _next_chunk(reader)
-    await chunks.put((clock.time(), chunk))
+        if not chunk:
+            return
+
+
+async def _deliver_unless_reset(
+    reading: asyncio.Task[None], delivering: asyncio.Task[None]
+) -> None:
+    """Waits until all is delivered.
+
+    Raises:
+        OSError: the sender has reset the connection, or the receiver has.
+    """
+    await asyncio.wait(
+        (reading, delivering), return_when=asyncio.FIRST_COMPLETED
+    )
+    if not delivering.done():
+        await reading
+    await delivering
 
 
-async def _next_chunk(reader: asyncio.StreamReader) -> bytes:
-    try:
-        return await reader.read(_CHUNK_BYTES)
-    except OSError:
-        return b''
+def _ignore(source: str, destination: str) -> None:
+    """Stands for a listener where there is none."""
--- a/packages/cowslipfork-lab/tests/relay/test_relay.py
+++ b/packages/cowslipfork-lab/tests/relay/test_relay.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import os
+import socket
+import struct
 from contextlib import asynccontextmanager
 
 import pytest
@@ -140,3 +142,39 @@
                 await old_reader.readline()
         writer.close()
         old_writer.close()
+
+
+@pytest.mark.parametrize(
+    ('linger', 'expected'), [(False, b'held'), (True, b'')]
+)
+async def test_held_up_bytes_are_lost_only_if_their_sender_resets(
+    linger, expected
+):
+    """Guards against a stand-in that delivers what was taken back."""
+    received = bytearray()
+    ended = asyncio.Event()
+
+    async def record(reader, _):
+        received.extend(await reader.read())
+        ended.set()
+
+    server = await asyncio.start_server(record, '127.0.0.1', 0)
+    relay = Relay()
+    port = await relay.listen('far', server.sockets[0].getsockname()[1])
+    _, writer = await asyncio.open_connection('127.0.0.1', port)
+    await asyncio.sleep(0.05)
+    relay.rules.set(ANY, 'far', SILENT)
+    writer.write(b'held')
+    await asyncio.sleep(0.05)
+    if linger:
+        own_end = writer.get_extra_info('socket')
+        no_linger = struct.pack('ii', 1, 0)
+        own_end.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, no_linger)
+    writer.close()
+    await asyncio.sleep(0.05)
+    relay.rules.set(ANY, 'far', Rule())
+    async with asyncio.timeout(5):
+        await ended.wait()
+    assert received == expected
+    await relay.close()
+    server.close()
