--- a/packages/cowslipfork-direct/tests/takeover/test_synchronous_replicas.py
+++ b/packages/cowslipfork-direct/tests/takeover/test_synchronous_replicas.py
@@ -104,3 +104,21 @@
             return cluster.orders[0][0] - begun
 
     assert run(main()) < TAKEOVER
+
+
+def test_a_primary_that_came_back_leads_again_beside_a_missing_replica():
+    """Guards against a group without a primary though one has every commit."""
+
+    async def main():
+        async with world(nodes=3, synchronous_replicas=1) as cluster:
+            await write_some(cluster)
+            for name in ('e1', 'e3'):
+                cluster.servers[name].blocked = True
+            loop = asyncio.get_running_loop()
+            primary = cluster.servers['e1']
+            loop.call_later(0.5, setattr, primary, 'blocked', False)
+            return await served_after(cluster)
+
+    gap = run(main())
+    assert gap is not None
+    assert gap < TAKEOVER
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/takeover_table.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/takeover_table.py
@@ -33,7 +33,7 @@
         _TAKEOVER / 'primary_supervisor.py',
         'if own and takeover.phase is TakeoverPhase.CLAIMED:',
         'if own:',
-        _LOST_WRITES,
+        f'{_TESTS}/test_resumed_takeovers.py',
     ),
     Mutant(
         'direct: the primary of a resumed takeover is read from its record',
