--- a/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/held_replicas.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/held_replicas.py
@@ -46,9 +46,10 @@
 
     def request_statuses_if_due(self) -> None:
         """Requests the replicas' statuses on one of the nodes at a time."""
-        due = boot_time() >= self._requested_at + CHECK_INTERVAL
-        if due and self._is_first():
-            self._requested_at = boot_time()
+        if boot_time() < self._requested_at + CHECK_INTERVAL:
+            return
+        self._requested_at = boot_time()
+        if self._is_first():
             self._endpoint_monitor.request_replica_statuses()
 
     def find(self) -> list[Endpoint]:
@@ -58,11 +59,12 @@
         them, or decides itself what becomes of them.
         """
         cached = self._context.takeover_cache.takeover(self._group.name)
+        since = self._released_at if cached is None else cached.seen_at
+        held = self._group.held_replicas(max(since, self._released_at))
         settled = self._context.settlement.settled
-        if not settled or self._may_go_on(cached) or not self._is_first():
+        if not held or not settled or self._may_go_on(cached):
             return []
-        since = self._released_at if cached is None else cached.seen_at
-        return self._group.held_replicas(max(since, self._released_at))
+        return held if self._is_first() else []
 
     def note_release(self) -> None:
         """Records that the replicas are released; older statuses are void."""
