--- a/packages/cowslipfork-direct/tests/test_relay.py
+++ b/packages/cowslipfork-direct/tests/test_relay.py
@@ -6,6 +6,7 @@
 from contextlib import asynccontextmanager, suppress
 
 import pytest
+from direct_fakes.recording_server import RecordingServer
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -306,30 +307,14 @@
             await dial(Address('127.0.0.1', 1), via)
 
 
-class RecordingTarget:
-    """Receives bytes and how their connection ends."""
-
-    def __init__(self):
-        self.received = bytearray()
-        self.begun = asyncio.Event()
-        #: The error at its end; None for an orderly one.
-        self.end = asyncio.get_running_loop().create_future()
-
-    async def serve(self, reader, writer):
-        try:
-            while chunk := await reader.read(65_536):
-                self.received += chunk
-                self.begun.set()
-            self.end.set_result(None)
-        except ConnectionResetError as error:
-            self.end.set_result(error)
-        writer.close()
+def address_of(server):
+    return Address('127.0.0.1', server.port)
 
 
 async def test_a_request_that_is_reset_is_reset_at_its_target():
     """Guards against a store's write that arrives after it was given up."""
-    recording = RecordingTarget()
-    async with listening(recording.serve) as target:
+    async with RecordingServer() as recording:
+        target = address_of(recording)
         async with listening(Relay(lambda: {target}).serve) as via:
             _, writer = await dial(target, via)
             writer.write(b'request')
@@ -340,9 +325,9 @@
 
 async def test_a_request_before_a_close_is_delivered():
     """Guards against a relay that resets what it has yet to deliver."""
-    recording = RecordingTarget()
     content = bytes(1_000_000)
-    async with listening(recording.serve) as target:
+    async with RecordingServer() as recording:
+        target = address_of(recording)
         async with listening(Relay(lambda: {target}).serve) as via:
             _, writer = await dial(target, via)
             writer.write(content)
@@ -353,14 +338,14 @@
 
 async def test_the_end_of_a_relay_resets_its_connections():
     """Guards against a request that arrives though its relay was stopped."""
-    recording = RecordingTarget()
     serving = []
 
     async def serve(reader, writer):
         serving.append(asyncio.current_task())
         await Relay(lambda: {target}).serve(reader, writer)
 
-    async with listening(recording.serve) as target:
+    async with RecordingServer() as recording:
+        target = address_of(recording)
         async with listening(serve) as via:
             _, writer = await dial(target, via)
             writer.write(b'request')
