--- a/packages/cowslipfork-direct/src/cowslipfork_direct/order_window.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/order_window.py
@@ -22,6 +22,10 @@
 #: Seconds from the beginning of an order until it must not arrive any more.
 ORDER_TIMEOUT: Final = 1.5
 
+#: Seconds after the last progress of a takeover for which its claim is still
+#: written again: another node may do better.
+MAX_REFRESH_TIME: Final = 1.5
+
 #: Seconds that resetting the connection of an order may be late.
 RESET_DELAY: Final = 1.0
 
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/endpoint_orders.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/endpoint_orders.py
@@ -83,6 +83,8 @@
         endpoints: Sequence[Endpoint],
         action: Callable[[Link], Awaitable[EndpointStatus | None]],
     ) -> _Statuses:
+        if not endpoints:
+            return []
         deadline = await self._held_claim.refresh()
         if deadline is None:
             group = self._held_claim.takeover.group
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/held_claim.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/held_claim.py
@@ -4,7 +4,7 @@
 
 from cowslipfork.ids import EndpointId, Term
 from cowslipfork_direct.clock import boot_time
-from cowslipfork_direct.order_window import order_deadline
+from cowslipfork_direct.order_window import MAX_REFRESH_TIME, order_deadline
 from cowslipfork_direct.takeover.claims import Claim, Claims
 from cowslipfork_direct.takeover.records import Takeover, TakeoverPhase
 
@@ -21,6 +21,7 @@
         """
         self._claims = claims
         self._claim = claim
+        self._progressed_at = claim.confirmed_at
 
     @property
     def takeover(self) -> Takeover:
@@ -51,19 +52,33 @@
         Returns:
             Whether it was written; if not, another node may have claimed.
         """
-        advanced = await self._claims.advance(
-            self._claim, phase, candidate, term
-        )
-        if advanced is not None:
-            self._claim = advanced
-        return advanced is not None
+        written = await self._write(phase, candidate, term)
+        if written:
+            self._progressed_at = self._claim.confirmed_at
+        return written
 
     async def refresh(self) -> float | None:
         """Writes the claim again if it is too old for a call.
 
+        Not for long without progress: other nodes could not claim meanwhile.
+
         Returns:
-            As ``deadline``; None if the write was not confirmed either.
+            As ``deadline``; None if the claim is still too old.
         """
-        if self.deadline is None:
-            await self.advance(self.takeover.phase)
+        without_progress = boot_time() - self._progressed_at
+        if self.deadline is None and without_progress <= MAX_REFRESH_TIME:
+            await self._write(self.takeover.phase)
         return self.deadline
+
+    async def _write(
+        self,
+        phase: TakeoverPhase,
+        candidate: EndpointId | None = None,
+        term: Term | None = None,
+    ) -> bool:
+        advanced = await self._claims.advance(
+            self._claim, phase, candidate, term
+        )
+        if advanced is not None:
+            self._claim = advanced
+        return advanced is not None
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/promoter.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/promoter.py
@@ -336,8 +336,8 @@
         """
         self._context.metrics.count_takeover_step('abandoned')
         log.warning('takeover_abandoned', extra={'group': self._group.name})
-        # A write that is given up may take effect, so it has no such timeout.
-        await self._held_claim.refresh()
+        if self._held_claim.deadline is None:
+            await self._held_claim.advance(self._takeover.phase)
         with suppress(TimeoutError):
             async with asyncio.timeout(RESUME_TIMEOUT):
                 await self._endpoint_orders.resume(
--- a/packages/cowslipfork-direct/tests/takeover/test_endpoint_orders.py
+++ b/packages/cowslipfork-direct/tests/takeover/test_endpoint_orders.py
@@ -7,7 +7,11 @@
 
 from cowslipfork.ids import GroupName, Term
 from cowslipfork_direct.clock import boot_time
-from cowslipfork_direct.order_window import MAX_CLAIM_AGE, ORDER_TIMEOUT
+from cowslipfork_direct.order_window import (
+    MAX_CLAIM_AGE,
+    MAX_REFRESH_TIME,
+    ORDER_TIMEOUT,
+)
 from cowslipfork_direct.takeover.claims import Claim
 from cowslipfork_direct.takeover.endpoint_orders import EndpointOrders
 from cowslipfork_direct.takeover.held_claim import HeldClaim
@@ -100,6 +104,8 @@
         (0, True, 0, ['hold', 'demote', 'resume']),
         (2 * MAX_CLAIM_AGE, False, 3, ['hold', 'demote', 'resume']),
         (2 * MAX_CLAIM_AGE, True, 3, []),
+        # Another node may do better than one that makes no progress.
+        (MAX_REFRESH_TIME + 0.1, False, 0, []),
     ],
 )
 def test_each_begins_with_a_recent_claim(age, lost, writes, sent):
@@ -122,3 +128,16 @@
         return boot_time() - begun
 
     assert run(main()) == pytest.approx(3 * ORDER_TIMEOUT, abs=0.2)
+
+
+def test_no_claim_is_written_if_no_endpoint_is_reached():
+    """Guards against a claimer that keeps others from claiming."""
+    claims = FakeClaims()
+
+    async def main():
+        claim = Claim(TAKEOVER, 5, 7, boot_time() - 2 * MAX_CLAIM_AGE)
+        held_claim = HeldClaim(claims, claim)
+        return await EndpointOrders(held_claim, FakeMonitor()).hold([], Term(2))
+
+    assert run(main()) == []
+    assert claims.writes == 0
--- a/packages/cowslipfork-direct/tests/takeover/test_takeover.py
+++ b/packages/cowslipfork-direct/tests/takeover/test_takeover.py
@@ -6,8 +6,16 @@
 import pytest
 from direct_fakes.world import AGED, FRESH, run, statement, world
 
+from cowslipfork.ids import VmId
 from cowslipfork.outcomes import Done, NotRun, Unknown
+from cowslipfork_direct.order_window import CLAIM_EXPIRY
 from cowslipfork_direct.promotion import OrderResult
+from cowslipfork_direct.takeover.records import (
+    DUTY_KEY,
+    ClaimId,
+    Duty,
+    encode,
+)
 
 #: Seconds until a write succeeds again; the users' target is at most three.
 LONGEST_GAP = 3
@@ -349,3 +357,31 @@
             return cluster
 
     assert run(main()).orders == []
+
+
+def test_a_claimer_that_reaches_no_endpoint_is_replaced():
+    """Guards against a claim that is written again for good."""
+
+    async def main():
+        async with world(nodes=5) as cluster:
+            # n1 claims first. n5 can't acknowledge that it has stopped.
+            duty = Duty(VmId('n1'), ClaimId('earlier'))
+            cluster.store.put(DUTY_KEY, encode(duty))
+            cluster.stores['n5'].blocked = True
+            cluster.node_partitions = {
+                (cut_off, other)
+                for cut_off in ('n1', 'n5')
+                for other in ('n2', 'n3', 'n4')
+            }
+            cluster.blocked_paths = {('n1', name) for name in cluster.servers}
+            cluster.servers['e1'].blocked = True
+            at_claimer = asyncio.create_task(first_write(cluster))
+            gaps = await asyncio.gather(
+                *(first_write(cluster, name) for name in ('n2', 'n3', 'n4'))
+            )
+            at_claimer.cancel()
+            return cluster, max(gaps)
+
+    cluster, gap = run(main())
+    assert len(cluster.orders) == 1
+    assert gap < CLAIM_EXPIRY + LONGEST_GAP
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/takeover_table.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/takeover_table.py
@@ -354,6 +354,20 @@
         'if suspicion == self._logged:',
         f'{_TESTS}/test_suspicion_reporter.py',
     ),
+    Mutant(
+        'takeover: a claim is not written again for long without progress',
+        _TAKEOVER / 'held_claim.py',
+        'if self.deadline is None and without_progress <= MAX_REFRESH_TIME:',
+        'if self.deadline is None and without_progress:',
+        _ENDPOINT_ORDERS,
+    ),
+    Mutant(
+        'takeover: a claimer that reaches no endpoint is replaced',
+        _TAKEOVER / 'endpoint_orders.py',
+        '        if not endpoints:\n            return []\n',
+        '',
+        _ENDPOINT_ORDERS,
+    ),
     Mutant(
         'takeover: an older record of an era replaces no newer one',
         _DIRECT / 'era_settlement.py',
