Docstrings: when no replica is released, and what a relay resets

Cause: read again as a newcomer would; "None" could be taken for Python's None.

Change: two docstrings.

--- a/packages/cowslipfork-direct/src/cowslipfork_direct/relay.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/relay.py
@@ -6,8 +6,8 @@
 node uses itself.
 
 If the requesting node closes its connection, the target still receives what was
-sent; if it resets it, having given a request up, the target's one is reset too.
-So it is when the relay's process ends.
+sent. If it resets it, having given a request up, the connection to the target
+is reset as well, and so it is when the relay's process ends.
 
 A connection that starts with another message is a peer link, and is served
 elsewhere.
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/held_replicas.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/held_replicas.py
@@ -55,8 +55,8 @@
     def find(self) -> list[Endpoint]:
         """Returns reachable replicas that have to be released.
 
-        None while a takeover is under way or may have to be resumed: it holds
-        them, or decides itself what becomes of them.
+        Empty while a takeover is under way or had an effect that nobody has
+        seen, and on all nodes but the first one of the group.
         """
         cached = self._context.takeover_cache.takeover(self._group.name)
         since = self._released_at if cached is None else cached.seen_at
