--- a/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/promoter.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/promoter.py
@@ -337,6 +337,7 @@
         self._context.metrics.count_takeover_step('abandoned')
         log.warning('takeover_abandoned', extra={'group': self._group.name})
         if self._held_claim.deadline is None:
+            # Not within the timeout: a write that is given up may take effect.
             await self._held_claim.advance(self._takeover.phase)
         with suppress(TimeoutError):
             async with asyncio.timeout(RESUME_TIMEOUT):
--- a/packages/cowslipfork-direct/tests/takeover/test_held_replicas.py
+++ b/packages/cowslipfork-direct/tests/takeover/test_held_replicas.py
@@ -129,19 +129,24 @@
     assert history.find_violations() == []
 
 
-def test_a_replica_that_another_takeover_holds_stays_held():
-    """Guards against a node that has not heard of the takeover yet."""
-    theirs = Takeover(
+def failover_of_other_node(phase):
+    return Takeover(
         GroupName('g'),
         Term(2),
         Term(1),
         EndpointId('e1'),
         TakeoverKind.FAILOVER,
-        TakeoverPhase.CLAIMED,
+        phase,
         VmId('other'),
         ClaimId('theirs'),
+        EndpointId('e2'),
     )
 
+
+def test_a_replica_that_another_takeover_holds_stays_held():
+    """Guards against a node that has not heard of the takeover yet."""
+    theirs = failover_of_other_node(TakeoverPhase.CLAIMED)
+
     async def main():
         async with world(nodes=1) as cluster:
             cluster.stores['n1'].hears_news.clear()
@@ -158,17 +163,7 @@
 )
 def test_a_takeover_under_way_keeps_its_replicas_held(phase):
     """Guards against a release while the claimer is only slow."""
-    theirs = Takeover(
-        GroupName('g'),
-        Term(2),
-        Term(1),
-        EndpointId('e1'),
-        TakeoverKind.FAILOVER,
-        phase,
-        VmId('other'),
-        ClaimId('theirs'),
-        EndpointId('e2'),
-    )
+    theirs = failover_of_other_node(phase)
 
     async def main():
         async with world(nodes=3) as cluster:
