--- a/packages/cowslipfork-direct/src/cowslipfork_direct/forwarding/carrier_service.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/forwarding/carrier_service.py
@@ -64,6 +64,11 @@
         self._leaving = False
         self._tasks: set[asyncio.Task[None]] = set()
 
+    @property
+    def running_statements(self) -> int:
+        """Number of statements of other nodes that run."""
+        return self._running
+
     @property
     def open_transactions(self) -> int:
         """Number of open transactions of other nodes."""
@@ -72,7 +77,7 @@
     @property
     def open_work(self) -> int:
         """Number of statements that run and of open transactions."""
-        return self._running + self.open_transactions
+        return self.running_statements + self.open_transactions
 
     def register(self, server: PeerServer) -> None:
         """Registers what answers the requests of other nodes.
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/node.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/node.py
@@ -11,6 +11,7 @@
 from cowslipfork.ids import VmId
 from cowslipfork.outcomes import NotRun, Reason
 from cowslipfork.store import Event, StoreEra
+from cowslipfork_direct import node_gauges
 from cowslipfork_direct.carriers import NodeTraits
 from cowslipfork_direct.connected_callers import ConnectedCallers
 from cowslipfork_direct.endpoint import Endpoint
@@ -27,12 +28,6 @@
 from cowslipfork_direct.leaving import refusal_of_leaving
 from cowslipfork_direct.long_lived import keep_running
 from cowslipfork_direct.metrics import Metrics
-from cowslipfork_direct.node_gauges import (
-    add_group_gauges,
-    add_peer_gauges,
-    add_rate_limit_counters,
-    add_store_gauges,
-)
 from cowslipfork_direct.node_parameters import (
     CarrierOptions,
     NodeIdentity,
@@ -220,12 +215,15 @@
             lambda: self._transactions_until,
             self._metrics,
         )
-        add_group_gauges(self._metrics, self._view)
-        add_store_gauges(
+        node_gauges.add_group_gauges(self._metrics, self._view)
+        node_gauges.add_store_gauges(
             self._metrics, lambda: self._store_watcher.last_answer_at
         )
-        add_peer_gauges(self._metrics, self._peers, self._peer_server)
-        add_rate_limit_counters(self._metrics, self._rate_limits)
+        node_gauges.add_peer_gauges(
+            self._metrics, self._peers, self._peer_server
+        )
+        node_gauges.add_forwarding_gauges(self._metrics, self._carrier_service)
+        node_gauges.add_rate_limit_counters(self._metrics, self._rate_limits)
 
     @property
     def configured(self) -> bool:
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/node_gauges.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/node_gauges.py
@@ -7,6 +7,7 @@
 
 from cowslipfork_direct.clock import boot_time
 from cowslipfork_direct.endpoint import Endpoint
+from cowslipfork_direct.forwarding import CarrierService
 from cowslipfork_direct.metrics import Metrics
 from cowslipfork_direct.peers import PeerClient, PeerServer
 from cowslipfork_direct.rate_limits import RateLimits
@@ -95,6 +96,24 @@
     )
 
 
+def add_forwarding_gauges(metrics: Metrics, service: CarrierService) -> None:
+    """Adds the open work of other nodes.
+
+    Args:
+        metrics: metrics of the node.
+        service: executes what other nodes forward to this one.
+    """
+    metrics.add_gauge(
+        'forwarded_open',
+        'Statements and transactions of other nodes that are open here.',
+        'kind',
+        lambda: {
+            'statements': service.running_statements,
+            'transactions': service.open_transactions,
+        },
+    )
+
+
 def add_rate_limit_counters(metrics: Metrics, rate_limits: RateLimits) -> None:
     """Adds refused operations, and those granted without a limiter.
 
