--- a/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/decision.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/decision.py
@@ -12,6 +12,12 @@
 from dataclasses import dataclass
 
 from cowslipfork.ids import EndpointId
+from cowslipfork_direct.takeover.commit_evidence import (
+    has_every_commit,
+    has_unseen_order,
+    leads_last_term,
+    newest_primary,
+)
 from cowslipfork_direct.takeover.endpoint_reports import (
     EndpointReport,
     Evidence,
@@ -82,17 +88,17 @@
         evidence: what is known of the endpoints.
         refused: endpoints that the platform can't promote now.
     """
-    newest = _newest_primary(evidence.reports)
+    newest = newest_primary(evidence.reports)
     if newest is not None and _was_made_unseen(takeover, newest):
         return Abandon(newest.endpoint)
     candidate = choose_candidate(takeover, evidence, refused)
-    if candidate is not None and _has_every_commit(
+    if candidate is not None and has_every_commit(
         takeover, evidence, candidate
     ):
         return Promote(candidate.endpoint)
     if newest is None:
         return Wait()
-    if _leads_last_term(takeover, newest):
+    if leads_last_term(takeover, newest):
         return Abandon(newest.endpoint)
     if is_outdated(takeover, newest) and not evidence.accepts_outdated:
         return Wait()
@@ -146,39 +152,6 @@
     return report.status.term < takeover.last_led_term
 
 
-def knows_every_commit(takeover: Takeover, evidence: Evidence) -> bool:
-    """Returns whether the replicas that answered have each acknowledged commit.
-
-    Each was received by as many replicas as are synchronous. One that does not
-    answer, or has left, may be one of them, so fewer than that number may be
-    missing. It takes as many of the holders to answer, whatever is listed now.
-    The old primary is none of them, unless it may have followed another one.
-
-    Args:
-        takeover: the claimed takeover.
-        evidence: what is known of the endpoints.
-    """
-    holders = evidence.holders
-    if not has_unseen_order(takeover):
-        holders -= {takeover.old}
-    answered = {
-        report.endpoint
-        for report in evidence.reports
-        if report.recent and not report.is_primary
-    }
-    missing = holders - answered
-    return len(missing) < evidence.synchronous
-
-
-def has_unseen_order(takeover: Takeover) -> bool:
-    """Returns whether an earlier order may have taken effect unseen.
-
-    Args:
-        takeover: the claimed takeover.
-    """
-    return takeover.ceiling > takeover.last_led_term
-
-
 def may_abandon_unseen(takeover: Takeover) -> bool:
     """Returns whether a takeover may be abandoned without a primary's answer.
 
@@ -192,66 +165,6 @@
     return claimed and not has_unseen_order(takeover)
 
 
-def _leads_last_term(takeover: Takeover, report: EndpointReport) -> bool:
-    """Returns whether no primary can have a later term than this one."""
-    return (
-        takeover.phase is TakeoverPhase.CLAIMED
-        and report.status.term >= takeover.ceiling
-    )
-
-
 def _was_made_unseen(takeover: Takeover, report: EndpointReport) -> bool:
     """Returns whether a primary follows from an order that nobody saw work."""
-    return has_unseen_order(takeover) and _leads_last_term(takeover, report)
-
-
-def _newest_primary(
-    reports: Collection[EndpointReport],
-) -> EndpointReport | None:
-    """Returns the primary of the highest term that has just answered."""
-    primaries = [
-        report for report in reports if report.recent and report.is_primary
-    ]
-    return max(primaries, key=lambda report: report.status.term, default=None)
-
-
-def _has_every_commit(
-    takeover: Takeover, evidence: Evidence, candidate: EndpointReport
-) -> bool:
-    """Returns whether a candidate has each commit that was acknowledged.
-
-    Without synchronous replicas the primary acknowledges commits that no
-    replica has, and nothing can be required.
-    """
-    if not evidence.synchronous:
-        return True
-    if _has_log_of_old_primary(takeover, evidence, candidate):
-        return True
-    received = [
-        report.status.received
-        for report in evidence.reports
-        if not report.is_primary
-        and (has_unseen_order(takeover) or report.endpoint != takeover.old)
-    ]
-    greatest = max(received, default=candidate.status.received)
-    return candidate.status.received >= greatest and knows_every_commit(
-        takeover, evidence
-    )
-
-
-def _has_log_of_old_primary(
-    takeover: Takeover, evidence: Evidence, candidate: EndpointReport
-) -> bool:
-    """Returns whether a candidate has all of the last primary's log.
-
-    That log has each commit, but only if no other primary may have followed.
-    In a failover a primary that answers again goes on instead.
-    """
-    newest = _newest_primary(evidence.reports)
-    if takeover.kind is TakeoverKind.FAILOVER or newest is None:
-        return False
-    return (
-        newest.endpoint == takeover.old
-        and _leads_last_term(takeover, newest)
-        and candidate.status.received >= newest.status.received
-    )
+    return has_unseen_order(takeover) and leads_last_term(takeover, report)
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/endpoint_reports.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/endpoint_reports.py
@@ -7,6 +7,7 @@
 
 from cowslipfork.ids import EndpointId
 from cowslipfork_direct.link import EndpointRole, EndpointStatus
+from cowslipfork_direct.observed_statuses import Leader
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,9 +45,12 @@
             answer, are listed, or have left.
         accepts_outdated: whether a replica may be promoted that has not
             followed the last primary.
+        last_leader: last primary that this node has known; None if it has
+            known none since its start.
     """
 
     reports: Collection[EndpointReport]
     synchronous: int = 0
     holders: frozenset[EndpointId] = frozenset()
     accepts_outdated: bool = False
+    last_leader: Leader | None = None
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/evidence_collector.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/evidence_collector.py
@@ -75,6 +75,7 @@
             synchronous,
             self._holders(),
             accepts_outdated=leaderless >= LAST_PRIMARY_TIMEOUT,
+            last_leader=self._group.last_leader,
         )
 
     def log_wait(self, takeover: Takeover, evidence: Evidence) -> None:
--- a/packages/cowslipfork-direct/tests/takeover/test_decision.py
+++ b/packages/cowslipfork-direct/tests/takeover/test_decision.py
@@ -4,6 +4,7 @@
 
 from cowslipfork.ids import EndpointId, GroupName, Mark, Position, Term, VmId
 from cowslipfork_direct.link import EndpointRole, EndpointStatus
+from cowslipfork_direct.observed_statuses import Leader
 from cowslipfork_direct.takeover.decision import (
     Abandon,
     Demote,
@@ -43,9 +44,15 @@
     return report(name, EndpointRole.PRIMARY, term, recent=recent)
 
 
-def replica(name, position, *, log_term=1, leaving=False):
+def replica(name, position, *, log_term=1, leaving=False, recent=True):
     return report(
-        name, EndpointRole.REPLICA, 1, log_term, position, leaving=leaving
+        name,
+        EndpointRole.REPLICA,
+        1,
+        log_term,
+        position,
+        leaving=leaving,
+        recent=recent,
     )
 
 
@@ -208,6 +215,54 @@
     assert next_step(takeover(), evidence, {'e2'}) == Wait()
 
 
+@pytest.mark.parametrize(
+    ('claimed', 'leader_term', 'reports', 'step'),
+    [
+        (takeover(), 1, [replica('e1', 9)], Promote('e1')),
+        (takeover(), 1, [replica('e1', 9), replica('e2', 9)], Promote('e1')),
+        (takeover(), 1, [replica('e1', 9), replica('e2', 8)], Promote('e1')),
+        (takeover(handover=True), 1, [replica('e1', 9)], Promote('e1')),
+        # It may still have been the primary when it reported this.
+        (takeover(), 1, [replica('e1', 9, recent=False)], Wait()),
+        # Another one may have followed it.
+        (takeover(ceiling=2), 1, [replica('e1', 9)], Wait()),
+        (takeover(led=2, ceiling=2), 1, [replica('e1', 9)], Wait()),
+        (
+            takeover(phase=TakeoverPhase.ORDERED),
+            1,
+            [replica('e1', 9)],
+            Wait(),
+        ),
+        # This node has not seen who led the last term.
+        (takeover(), None, [replica('e1', 9)], Wait()),
+    ],
+)
+def test_the_last_primary_has_every_commit_once_it_is_demoted(
+    claimed, leader_term, reports, step
+):
+    """Guards against a wait for replicas that can't have more commits."""
+    leader = leader_term and Leader(EndpointId('e1'), Term(leader_term))
+    evidence = Evidence(
+        reports,
+        1,
+        frozenset(('e1', 'e2', 'e3')),
+        accepts_outdated=True,
+        last_leader=leader,
+    )
+    assert next_step(claimed, evidence) == step
+
+
+def test_a_replica_with_less_than_the_demoted_primary_waits_for_it():
+    """Guards against a promotion beside a primary that can't be promoted."""
+    evidence = Evidence(
+        [replica('e1', 9), replica('e2', 8)],
+        1,
+        frozenset(('e1', 'e2', 'e3')),
+        last_leader=Leader(EndpointId('e1'), Term(1)),
+    )
+    assert next_step(takeover(), evidence, {'e1'}) == Wait()
+
+
 @pytest.mark.parametrize(
     ('reports', 'accepts_outdated', 'step'),
     [
--- a/packages/cowslipfork-direct/tests/takeover/test_decision_search.py
+++ b/packages/cowslipfork-direct/tests/takeover/test_decision_search.py
@@ -180,6 +180,7 @@
         state.synchronous,
         frozenset(one.name for one in state.servers),
         state.accepts_outdated,
+        state.known,
     )
     decided = next_step(state.record, evidence)
     if isinstance(decided, Promote):
@@ -276,11 +277,30 @@
     ]
 
 
+def demote(state):
+    """The claimer of a failover demotes the old primary as it returns."""
+    if not state.claimed or state.record.kind is not TakeoverKind.FAILOVER:
+        return []
+    return [
+        state.change(one.name, primary=False)
+        for one in state.servers
+        if one.up and one.primary and one.name == state.record.old
+    ]
+
+
 def restart_nodes(state):
     return [replace(state, known=None, claimed=False)]
 
 
-EVENTS = (claim, step, use, crash_or_return, give_way, restart_nodes)
+EVENTS = (
+    claim,
+    step,
+    use,
+    crash_or_return,
+    give_way,
+    demote,
+    restart_nodes,
+)
 
 
 def successors(state):
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/direct_table.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/direct_table.py
@@ -412,7 +412,7 @@
     ),
     Mutant(
         'direct: a takeover is abandoned for a primary of the last term only',
-        _DIRECT / 'takeover/decision.py',
+        _DIRECT / 'takeover/commit_evidence.py',
         'and report.status.term >= takeover.ceiling',
         'and report.status.term >= 0',
         f'{_TAKEOVER}/test_unseen_promotions.py',
@@ -447,7 +447,7 @@
     ),
     Mutant(
         'direct: the candidate has the greatest mark of those that answered',
-        _DIRECT / 'takeover/decision.py',
+        _DIRECT / 'takeover/commit_evidence.py',
         'candidate.status.received >= greatest and knows_every_commit(',
         'greatest and knows_every_commit(',
         f'{_TAKEOVER}/test_decision.py',
