--- a/packages/cowslipfork-direct/src/cowslipfork_direct/node_process.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/node_process.py
@@ -88,8 +88,8 @@
 def skip_final_collection() -> None:
     """Has the interpreter end without collecting what is left in memory.
 
-    That takes a tenth of a second of processing time, which the grace period of
-    a stopping process may not have left on a busy machine.
+    The collection takes processing time, for which little is left at the end of
+    the grace period.
     """
     gc.freeze()
 
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/commit_evidence.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/commit_evidence.py
@@ -38,35 +38,11 @@
         and (has_unseen_order(takeover) or report.endpoint != takeover.old)
     ]
     greatest = max(received, default=candidate.status.received)
-    return candidate.status.received >= greatest and knows_every_commit(
+    return candidate.status.received >= greatest and _knows_every_commit(
         takeover, evidence
     )
 
 
-def knows_every_commit(takeover: Takeover, evidence: Evidence) -> bool:
-    """Returns whether the replicas that answered have each acknowledged commit.
-
-    Each was received by as many replicas as are synchronous. One that does not
-    answer, or has left, may be one of them, so fewer than that number may be
-    missing. It takes as many of the holders to answer, whatever is listed now.
-    The old primary is none of them, unless it may have followed another one.
-
-    Args:
-        takeover: the claimed takeover.
-        evidence: what is known of the endpoints.
-    """
-    holders = evidence.holders
-    if not has_unseen_order(takeover):
-        holders -= {takeover.old}
-    answered = {
-        report.endpoint
-        for report in evidence.reports
-        if report.recent and not report.is_primary
-    }
-    missing = holders - answered
-    return len(missing) < evidence.synchronous
-
-
 def has_unseen_order(takeover: Takeover) -> bool:
     """Returns whether an earlier order may have taken effect unseen.
 
@@ -94,6 +70,30 @@
     )
 
 
+def _knows_every_commit(takeover: Takeover, evidence: Evidence) -> bool:
+    """Returns whether the replicas that answered have each acknowledged commit.
+
+    Each was received by as many replicas as are synchronous. One that does not
+    answer, or has left, may be one of them, so fewer than that number may be
+    missing. It takes as many of the holders to answer, whatever is listed now.
+    The old primary is none of them, unless it may have followed another one.
+
+    Args:
+        takeover: the claimed takeover.
+        evidence: what is known of the endpoints.
+    """
+    holders = evidence.holders
+    if not has_unseen_order(takeover):
+        holders -= {takeover.old}
+    answered = {
+        report.endpoint
+        for report in evidence.reports
+        if report.recent and not report.is_primary
+    }
+    missing = holders - answered
+    return len(missing) < evidence.synchronous
+
+
 def _has_log_of_last_primary(
     takeover: Takeover, evidence: Evidence, candidate: EndpointReport
 ) -> bool:
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/held_claim.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/takeover/held_claim.py
@@ -30,7 +30,7 @@
 
     @property
     def fence(self) -> int:
-        """Fencing token; 0 if the duty's record has changed since."""
+        """Fencing token; 0 if another node may have a newer one."""
         return self._claims.fence_of(self._claim)
 
     @property
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/direct_table.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/direct_table.py
@@ -448,8 +448,8 @@
     Mutant(
         'direct: the candidate has the greatest mark of those that answered',
         _DIRECT / 'takeover/commit_evidence.py',
-        'candidate.status.received >= greatest and knows_every_commit(',
-        'greatest and knows_every_commit(',
+        'candidate.status.received >= greatest and _knows_every_commit(',
+        'greatest and _knows_every_commit(',
         f'{_TAKEOVER}/test_decision.py',
     ),
     Mutant(
