--- a/packages/cowslipfork-direct/src/cowslipfork_direct/transaction.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/transaction.py
@@ -122,7 +122,9 @@
                 reply = await checkout.ask(Rollback(), until)
             except LinkLost:
                 return
-            if reply.transaction_open:
+            # Endpoints don't refuse a rollback: its answer is still due.
+            refused = reply.code is not ReplyCode.DONE
+            if refused or reply.transaction_open:
                 checkout.invalidate()
 
     async def _run(self, served: ServedStatement) -> DirectOutcome:
--- a/packages/cowslipfork-direct/tests/fakes/direct_fakes/servers.py
+++ b/packages/cowslipfork-direct/tests/fakes/direct_fakes/servers.py
@@ -87,6 +87,8 @@
     lose_answers: int = 0
     #: Number of data statements that it will fail.
     fail: int = 0
+    #: Whether it answers rollbacks, which it runs, with a refusal.
+    refuse_rollbacks: bool = False
     #: Whether it refuses further connections.
     full: bool = False
     leaving: bool = False
@@ -348,6 +350,8 @@
             case Rollback():
                 self._writes = None
                 self._failed = False
+                if self._server.refuse_rollbacks:
+                    return self._reply(ReplyCode.BUSY)
             case Begin():
                 return self._begin(command)
             case Run(statement, floor):
--- a/packages/cowslipfork-direct/tests/test_session.py
+++ b/packages/cowslipfork-direct/tests/test_session.py
@@ -75,6 +75,24 @@
     assert state is SessionState.IDLE
 
 
+def test_refused_connection_with_a_refused_rollback_is_not_used_again():
+    """Guards against a later answer to it that counts as another's."""
+
+    async def main():
+        async with world() as made:
+            server = made.servers['e1']
+            server.refuse_rollbacks = True
+            session = await made.session()
+            await session.run(statement('BEGIN'))
+            await session.run(statement('WRITE a 1'))
+            before = server.connections
+            await session.run(statement('ROLLBACK'))
+            return before, server.connections
+
+    before, after = run(main())
+    assert after == before - 1
+
+
 @pytest.mark.parametrize('end', ['ROLLBACK', 'close'])
 def test_a_transaction_that_is_not_committed_leaves_nothing(end):
     async def main():
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/answer_table.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/answer_table.py
@@ -51,6 +51,13 @@
         'if match is Match.REPEATED and isinstance(command, Begin):',
         _EXCHANGE,
     ),
+    Mutant(
+        'replies: a refused rollback closes its connection',
+        _DIRECT / 'transaction.py',
+        'refused = reply.code is not ReplyCode.DONE',
+        'refused = reply.code is None',
+        f'{_TESTS}/test_session.py',
+    ),
     Mutant(
         'replies: BEGIN and statuses are followed by a probe',
         _DIRECT / 'exchange.py',
