--- a/packages/cowslipfork-direct/src/cowslipfork_direct/forwarding/carrier_service.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/forwarding/carrier_service.py
@@ -31,6 +31,9 @@
 #: connection to an endpoint, of which a carrier has far fewer.
 MAX_TRANSACTIONS: Final = 500
 
+#: Why a statement that waited for a connection was not sent.
+_NO_CONNECTION: Final = frozenset((Reason.NO_FREE_SLOT, Reason.QUEUE_FULL))
+
 #: Returns what executes statements of a group on this node's connections; None
 #: if its configuration has no such group.
 FindExecutor = Callable[[GroupName], StatementExecutor | None]
@@ -112,7 +115,7 @@
             return reply_of(Executed(executor))
         with self._counted():
             executed = await executor.run_single(received(message.request))
-        return reply_of(executed)
+        return reply_of(self._redirected(executed))
 
     async def _run_in_transaction(
         self, message: RunInTransaction, session: PeerSession
@@ -130,7 +133,9 @@
             finally:
                 if transaction.ended:
                     self._forget(message.transaction, session)
-        return reply_of(executed)
+        return reply_of(
+            self._redirected(executed) if message.begins else executed
+        )
 
     async def _end_transaction(
         self, message: EndTransaction, session: PeerSession
@@ -151,6 +156,16 @@
             return _no_carrier(f'node does not know the group "{group}"')
         return executor
 
+    def _redirected(self, executed: Executed) -> Executed:
+        """Returns the outcome of a statement that leaves nothing open here.
+
+        A node that leaves keeps few connections. What got none is declined, so
+        that its entry node asks another carrier.
+        """
+        if self._leaving and _got_no_connection(executed):
+            return Executed(_no_carrier('node is leaving'))
+        return executed
+
     def _begin(
         self, message: RunInTransaction, session: PeerSession
     ) -> OpenTransaction | NotRun:
@@ -214,5 +229,10 @@
             self._running -= 1
 
 
+def _got_no_connection(executed: Executed) -> bool:
+    outcome = executed.outcome
+    return isinstance(outcome, NotRun) and outcome.reason in _NO_CONNECTION
+
+
 def _no_carrier(detail: str) -> NotRun:
     return NotRun(Reason.NO_CARRIER, RETRY_AFTER_MS, detail)
--- a/packages/cowslipfork-direct/tests/fakes/direct_fakes/peers.py
+++ b/packages/cowslipfork-direct/tests/fakes/direct_fakes/peers.py
@@ -83,9 +83,15 @@
         self.service_time = 0.005
         #: Requests as they arrived here.
         self.requests = []
+        #: Called as a statement arrives here.
+        self.on_arrival = lambda: None
 
-    async def run_single(self, request):
+    def record_arrival(self, request):
         self.requests.append(request)
+        self.on_arrival()
+
+    async def run_single(self, request):
+        self.record_arrival(request)
         if self.outcomes:
             return Executed(self.outcomes.pop(0))
         await asyncio.sleep(self.service_time)
@@ -108,7 +114,7 @@
 
     async def run(self, request):
         executor = self._executor
-        executor.requests.append(request)
+        executor.record_arrival(request)
         if executor.outcomes:
             return Executed(executor.outcomes.pop(0))
         group = executor.group
--- a/packages/cowslipfork-direct/tests/forwarding/test_carrier_service.py
+++ b/packages/cowslipfork-direct/tests/forwarding/test_carrier_service.py
@@ -184,6 +184,48 @@
     assert host.server.leaving
 
 
+@pytest.mark.parametrize('reason', [Reason.NO_FREE_SLOT, Reason.QUEUE_FULL])
+def test_refused_statement_that_waited_at_a_leaving_carrier_runs_at_another(
+    reason,
+):
+    """Guards against a refusal as busy while another carrier has room."""
+
+    async def main():
+        nodes = Nodes()
+        host = nodes.carriers[0]
+        host.local.on_arrival = lambda: host.service.leave(host.server)
+        host.local.outcomes = [NotRun(reason, 100)]
+        single = await nodes.entry.executor.run_single(request('WRITE a'))
+        nodes = Nodes()
+        host = nodes.carriers[0]
+        host.local.on_arrival = lambda: host.service.leave(host.server)
+        host.local.outcomes = [NotRun(reason, 100)]
+        await nodes.transaction('WRITE b', 'WRITE c')
+        return single.outcome, nodes
+
+    outcome, nodes = run(main())
+    assert isinstance(outcome, Done)
+    assert nodes.group.ran == {'WRITE b': 1, 'WRITE c': 1}
+
+
+def test_refused_later_statement_at_a_leaving_carrier_is_not_sent_elsewhere():
+    """Guards against a transaction that runs in part at two carriers."""
+
+    async def main():
+        nodes = Nodes()
+        host = nodes.carriers[0]
+        transaction = await nodes.transaction('WRITE a')
+        host.service.leave(host.server)
+        host.local.outcomes = [NotRun(Reason.NO_FREE_SLOT, 100)]
+        refused = await transaction.run(request('WRITE b'))
+        return refused.outcome, nodes
+
+    outcome, nodes = run(main())
+    assert isinstance(outcome, NotRun)
+    assert outcome.reason is Reason.NO_FREE_SLOT
+    assert nodes.group.ran == {'WRITE a': 1}
+
+
 def test_a_leaving_carrier_rolls_back_what_is_left():
     async def main():
         nodes = Nodes()
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/table.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/table.py
@@ -7,6 +7,7 @@
 
 from cowslipfork_lab.mutants.answer_table import ANSWER_MUTANTS
 from cowslipfork_lab.mutants.direct_table import DIRECT_MUTANTS
+from cowslipfork_lab.mutants.forwarding_table import FORWARDING_MUTANTS
 from cowslipfork_lab.mutants.http_table import HTTP_MUTANTS
 from cowslipfork_lab.mutants.mutant import Mutant
 from cowslipfork_lab.mutants.path_table import PATH_MUTANTS
@@ -337,6 +338,7 @@
     ),
     *ANSWER_MUTANTS,
     *DIRECT_MUTANTS,
+    *FORWARDING_MUTANTS,
     *HTTP_MUTANTS,
     *PATH_MUTANTS,
     *STORE_MUTANTS,
