--- a/packages/cowslipfork-lab/src/cowslipfork_lab/cluster/process.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/cluster/process.py
@@ -3,21 +3,23 @@
 from __future__ import annotations
 
 import asyncio
-import ctypes
 import os
 import signal
+import sys
 from collections.abc import Sequence
 from contextlib import suppress
 from pathlib import Path
+from typing import Final
 
 from cowslipfork.errors import CowslipforkError
+from cowslipfork_lab.cluster import bound_command
 
 #: Time that a process gets to end after SIGTERM.
 STOP_SECONDS = 15.0
 _LOG_TAIL_LINES = 20
-_PR_SET_PDEATHSIG = 1
-# Loaded before any fork: the child of a threaded driver may take no locks.
-_LIBC = ctypes.CDLL(None)
+
+#: Runs a command that the kernel ends by SIGTERM when the driver ends.
+_BOUND_COMMAND: Final = (sys.executable, '-I', '-S', bound_command.__file__)
 
 
 class ProcessEnded(CowslipforkError):
@@ -86,11 +88,15 @@
         pipe = asyncio.subprocess.PIPE
         with self._log.open('ab') as log:
             self._process = await asyncio.create_subprocess_exec(
+                *_BOUND_COMMAND,
+                str(os.getpid()),
                 *self._command,
                 stdin=pipe if pipes else asyncio.subprocess.DEVNULL,
                 stdout=pipe if pipes else log,
                 stderr=log,
-                preexec_fn=_end_with_driver,
+                # Signals of the terminal reach the driver only, which stops
+                # its children.
+                process_group=0,
             )
 
     async def ask(self, line: str) -> str:
@@ -110,6 +116,14 @@
         answer = await process.stdout.readline()
         return answer.decode()
 
+    async def ended(self) -> int:
+        """Waits for its end.
+
+        Returns:
+            Its exit status; negative for a signal, 0 if it never ran.
+        """
+        return await self._process.wait() if self._process else 0
+
     async def stop(self) -> int:
         """Ends it by SIGTERM, and by SIGKILL if it takes too long.
 
@@ -120,7 +134,7 @@
         self._signal(signal.SIGTERM)
         try:
             async with asyncio.timeout(STOP_SECONDS):
-                return await self._ended()
+                return await self.ended()
         except TimeoutError:
             return await self.kill()
 
@@ -131,7 +145,7 @@
             Its exit status; negative for a signal.
         """
         self._signal(signal.SIGKILL)
-        return await self._ended()
+        return await self.ended()
 
     def freeze(self) -> None:
         """Stops it where it stands."""
@@ -156,13 +170,3 @@
         if self._process and self.running:
             with suppress(ProcessLookupError):
                 self._process.send_signal(number)
-
-    async def _ended(self) -> int:
-        return await self._process.wait() if self._process else 0
-
-
-def _end_with_driver() -> None:
-    """Asks the kernel for SIGTERM when the driver ends, however it ends."""
-    _LIBC.prctl(_PR_SET_PDEATHSIG, signal.SIGTERM)
-    # Signals of the terminal reach the driver only, which stops its children.
-    os.setpgid(0, 0)
