--- a/packages/cowslipfork-direct/src/cowslipfork_direct/group.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/group.py
@@ -250,8 +250,11 @@
         changes = self._group_endpoints.update(listed)
         if changes.added:
             self._uninspected.set()
-        for name in changes.outdated:
+        for name in changes.dropped:
             self.forget(name)
+        for name, role in changes.new_roles.items():
+            if not self._observed_statuses.has_role(name, role):
+                self.forget(name)
         if changes.leaving_changed:
             self._notify_change()
         self.set_link_quota(self._link_quota)
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/group_endpoints.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/group_endpoints.py
@@ -31,14 +31,16 @@
 
     Attributes:
         added: endpoints that are new.
-        outdated: endpoints whose last status does not count any more: they
-            left, or report another role.
+        dropped: endpoints that left.
+        new_roles: roles of the endpoints whose entry names another one than
+            before.
         leaving_changed: whether an endpoint announces that it leaves, or takes
             that back.
     """
 
     added: tuple[Endpoint, ...]
-    outdated: tuple[EndpointId, ...]
+    dropped: tuple[EndpointId, ...]
+    new_roles: Mapping[EndpointId, EndpointRole]
     leaving_changed: bool
 
 
@@ -170,14 +172,14 @@
             for name, endpoint in self._by_id.items()
             if endpoint.listed.leaving
         }
-        in_other_role = [
-            name
-            for name, entry in before.items()
-            if entry.role is not entries[name].role
-        ]
         return ListingChanges(
             tuple(added),
-            (*dropped, *in_other_role),
+            tuple(dropped),
+            new_roles={
+                name: entries[name].role
+                for name, entry in before.items()
+                if entry.role is not entries[name].role
+            },
             leaving_changed=any(
                 entry.leaving is not entries[name].leaving
                 for name, entry in before.items()
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/direct_table.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/direct_table.py
@@ -275,6 +275,20 @@
         'if served.writes is None:',
         _SESSION,
     ),
+    Mutant(
+        'direct: an entry that agrees with the status takes no primary away',
+        _DIRECT / 'observed_statuses.py',
+        'return observed is not None and observed.status.role is role',
+        'return observed is None',
+        f'{_TESTS}/test_group.py',
+    ),
+    Mutant(
+        'direct: a primary whose entry denies it is asked again',
+        _DIRECT / 'group.py',
+        'if not self._observed_statuses.has_role(name, role):',
+        'if self._observed_statuses.get(name) is None:',
+        f'{_TESTS}/test_group.py',
+    ),
     Mutant(
         'direct: a leaving node answers each statement before its end',
         _DIRECT / 'session.py',
