--- a/packages/cowslipfork-direct/src/cowslipfork_direct/group.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/group.py
@@ -253,7 +253,8 @@
         for name in changes.dropped:
             self.forget(name)
         for name, role in changes.new_roles.items():
-            if not self._observed_statuses.has_role(name, role):
+            # The status of the present primary may be newer than its entry.
+            if role is not EndpointRole.PRIMARY or not self.leads(name):
                 self.forget(name)
         if changes.leaving_changed:
             self._notify_change()
--- a/packages/cowslipfork-direct/src/cowslipfork_direct/observed_statuses.py
+++ b/packages/cowslipfork-direct/src/cowslipfork_direct/observed_statuses.py
@@ -96,11 +96,6 @@
         )
         return next(filter(may_lead, leaders), None)
 
-    def has_role(self, endpoint: EndpointId, role: EndpointRole) -> bool:
-        """Returns whether the newest status of an endpoint shows a role."""
-        observed = self._statuses.get(endpoint)
-        return observed is not None and observed.status.role is role
-
     def follows(self, endpoint: EndpointId, leader: Leader) -> bool:
         """Returns whether an endpoint is a replica in the primary's term."""
         observed = self._statuses.get(endpoint)
--- a/packages/cowslipfork-direct/tests/test_group.py
+++ b/packages/cowslipfork-direct/tests/test_group.py
@@ -51,25 +51,38 @@
     assert isinstance(run(main()), Done)
 
 
-def test_an_entry_has_a_status_asked_for_again_only_if_they_disagree():
-    """Guards against a primary that is kept although its entry denies it."""
+def with_role(entries, name, role):
+    return [
+        replace(entry, role=role) if entry.endpoint == name else entry
+        for entry in entries
+    ]
+
+
+def test_only_the_present_primary_keeps_its_status_in_a_new_role():
+    """Guards against a status that counts although an entry denies it."""
 
     async def main():
         made = await handed_over_world()
         group = made.nodes['n1']._view.groups[made.database.name]
         leader = group.leader
+        other = next(
+            server.name for server in made.servers.values() if server.leaving
+        )
         entries = [endpoint.listed for endpoint in group.endpoints.values()]
-        leaders = []
-        for role in (EndpointRole.PRIMARY, EndpointRole.REPLICA):
-            group.update_endpoints(
-                replace(entry, role=role)
-                if entry.endpoint == leader.endpoint
-                else entry
-                for entry in entries
-            )
-            leaders.append(group.leader)
+        known = []
+        for name, role in (
+            (leader.endpoint, EndpointRole.PRIMARY),
+            (other, EndpointRole.REPLICA),
+            (leader.endpoint, EndpointRole.REPLICA),
+        ):
+            entries = with_role(entries, name, role)
+            group.update_endpoints(entries)
+            known.append((group.leader, group.observed_status(other)))
         await made.close()
-        return leader, leaders
+        return leader, known
 
-    leader, leaders = run(main())
-    assert leaders == [leader, None]
+    leader, known = run(main())
+    leaders, statuses = zip(*known, strict=True)
+    assert leaders == (leader, leader, None)
+    assert statuses[0] is not None
+    assert statuses[1] is None
--- a/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/direct_table.py
+++ b/packages/cowslipfork-lab/src/cowslipfork_lab/mutants/direct_table.py
@@ -277,16 +277,23 @@
     ),
     Mutant(
         'direct: an entry that agrees with the status takes no primary away',
-        _DIRECT / 'observed_statuses.py',
-        'return observed is not None and observed.status.role is role',
-        'return observed is None',
+        _DIRECT / 'group.py',
+        'if role is not EndpointRole.PRIMARY or not self.leads(name):',
+        'if role is not None:',
         f'{_TESTS}/test_group.py',
     ),
     Mutant(
         'direct: a primary whose entry denies it is asked again',
         _DIRECT / 'group.py',
-        'if not self._observed_statuses.has_role(name, role):',
-        'if self._observed_statuses.get(name) is None:',
+        'if role is not EndpointRole.PRIMARY or not self.leads(name):',
+        'if not self.leads(name):',
+        f'{_TESTS}/test_group.py',
+    ),
+    Mutant(
+        'direct: a replica in a new role is asked again',
+        _DIRECT / 'group.py',
+        'if role is not EndpointRole.PRIMARY or not self.leads(name):',
+        'if role is not EndpointRole.PRIMARY and self.leads(name):',
         f'{_TESTS}/test_group.py',
     ),
     Mutant(
